--- /dev/null
+++ b/include/siskinstage/account_record.h
@@ -0,0 +1,19 @@
+#ifndef SISKINSTAGE_ACCOUNT_RECORD_H
+#define SISKINSTAGE_ACCOUNT_RECORD_H
+
+#include "siskinstage/strong_id.h"
+
+#include <cstdint>
+
+namespace siskinstage {
+
+/// A client account and its limits over the whole fleet.
+struct AccountRecord {
+  AccountName Name;
+  double RatePerSecond = 0;      ///< Requests a second; 0 for no limit.
+  std::uint32_t Concurrency = 0; ///< Requests at once; 0 for no limit.
+};
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_ACCOUNT_RECORD_H
--- /dev/null
+++ b/include/siskinstage/config.h
@@ -0,0 +1,116 @@
+#ifndef SISKINSTAGE_CONFIG_H
+#define SISKINSTAGE_CONFIG_H
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+/// Every tunable of the system, with its unit. Nothing else in the code holds a
+/// bare limit or period.
+namespace siskinstage::config {
+
+using namespace std::chrono_literals;
+
+// Callers' port.
+inline constexpr std::size_t MaxHeaderBytes = 32 * 1024;
+inline constexpr std::size_t MaxHeaderCount = 100;
+inline constexpr std::uint64_t MaxBodyBytes = 64ULL * 1024 * 1024;
+/// A request or answer body up to this size is held in memory so that an early
+/// failure can be retried; a longer one is streamed.
+inline constexpr std::size_t ReplayBufferBytes = 256 * 1024;
+inline constexpr std::size_t StreamChunkBytes = 16 * 1024;
+inline constexpr std::size_t MaxChunkLineBytes = 256;
+inline constexpr std::size_t MaxTrailerBytes = 4 * 1024;
+inline constexpr std::chrono::milliseconds HeaderReadTimeout = 10s;
+inline constexpr std::chrono::milliseconds CallerIdleTimeout = 75s;
+inline constexpr std::chrono::milliseconds CallerWriteTimeout = 30s;
+inline constexpr int CallerThreadStackBytes = 256 * 1024;
+inline constexpr int CallerListenBacklog = 1024;
+inline constexpr std::chrono::milliseconds DefaultDeadline = 10s;
+inline constexpr std::chrono::milliseconds MaxDeadline = 300s;
+
+// Connections to targets.
+inline constexpr std::size_t MaxConnectionsPerTarget = 16;
+inline constexpr std::chrono::milliseconds ConnectTimeout = 500ms;
+inline constexpr std::chrono::milliseconds TargetIdleLimit = 15s;
+inline constexpr std::chrono::milliseconds TargetAgeLimit = 300s;
+/// A pooled connection that answered within this time counts as proved alive.
+inline constexpr std::chrono::milliseconds ProvedAliveWindow = 50ms;
+inline constexpr std::chrono::milliseconds BodyStallTimeout = 5s;
+/// A reused connection that gives no byte for this long, or for the factor
+/// times the service's usual latency, counts as silent.
+inline constexpr std::chrono::milliseconds SilentMinimum = 500ms;
+inline constexpr double SilentLatencyFactor = 10.0;
+
+// Retries.
+inline constexpr int MaxAttempts = 4;
+inline constexpr double RetryBudgetFraction = 0.1;
+inline constexpr double RetryBudgetBurst = 10.0;
+inline constexpr std::chrono::milliseconds RetryBackoffBase = 2ms;
+inline constexpr std::chrono::milliseconds RetryBackoffCap = 100ms;
+
+// Admission to a service whose slots are all taken.
+inline constexpr int MaxQueuePerService = 256;
+inline constexpr std::chrono::milliseconds MaxQueueWait = 2s;
+inline constexpr std::chrono::milliseconds QueuePollPeriod = 20ms;
+
+// Idempotency keys.
+inline constexpr std::chrono::seconds KeyEpochLength = 300s;
+/// A key stays valid in its own epoch and in this many later ones.
+inline constexpr std::uint32_t KeyEpochsKept = 1;
+inline constexpr std::size_t KeyTableCapacity = 200'000;
+inline constexpr std::size_t KeyAnswerBytesKept = ReplayBufferBytes;
+inline constexpr std::size_t KeyTableBytes = 64 * 1024 * 1024;
+inline constexpr std::size_t MaxKeyBytes = 200;
+inline constexpr std::size_t KeyMacBytes = 8;
+/// A caller may use an entries answer for this long.
+inline constexpr std::chrono::milliseconds EntriesTtl = 30s;
+inline constexpr std::size_t EntriesPerAccount = 4;
+/// One node of a service's group for this many slots of its targets.
+inline constexpr std::size_t SlotsPerGroupNode = 5;
+inline constexpr std::chrono::milliseconds EntriesForwardTimeout = 300ms;
+inline constexpr std::size_t RelayPeersTried = 2;
+inline constexpr int MaxForwardHops = 2;
+
+// Health of targets, local evidence.
+inline constexpr std::size_t HealthWindow = 32;
+inline constexpr int FastConsecutiveFailures = 3;
+inline constexpr int CarefulConsecutiveFailures = 5;
+inline constexpr double FastFailureFraction = 0.3;
+inline constexpr double CarefulFailureFraction = 0.5;
+inline constexpr std::size_t MinWindowSamples = 8;
+inline constexpr double SlowFactorFast = 5.0;
+inline constexpr double SlowFactorCareful = 8.0;
+inline constexpr std::chrono::milliseconds SlowMinimum = 100ms;
+/// A time-out says something of a target only after it had this long.
+inline constexpr std::chrono::milliseconds TimeoutEvidenceMinimum = 200ms;
+/// A target stays marked as leaving for this long after its last such sign.
+inline constexpr std::chrono::milliseconds LeavingMemory = 10s;
+inline constexpr std::chrono::milliseconds FirstEjection = 2s;
+inline constexpr std::chrono::milliseconds MaxEjection = 60s;
+inline constexpr std::chrono::milliseconds ProbationRamp = 5s;
+/// A failure newer than this still counts towards an ejection.
+inline constexpr std::chrono::milliseconds EvidenceAge = 10s;
+inline constexpr std::chrono::milliseconds FlapMemory = 120s;
+inline constexpr std::chrono::milliseconds DecisionPeriod = 20ms;
+inline constexpr std::size_t ObservationRingSize = 8192;
+
+// Probes of targets.
+inline constexpr std::chrono::milliseconds ProbePeriod = 5s;
+inline constexpr std::chrono::milliseconds ProbeTimeout = 1s;
+
+// Platform.
+inline constexpr std::chrono::milliseconds WatchWait = 20s;
+inline constexpr std::chrono::milliseconds PlatformRetryBase = 200ms;
+inline constexpr std::chrono::milliseconds PlatformRetryCap = 5s;
+inline constexpr std::chrono::milliseconds InstanceListPeriod = 1s;
+inline constexpr std::chrono::milliseconds PlatformCallTimeout = 3s;
+inline constexpr std::size_t MaxRecordBytes = 1024 * 1024;
+
+// Shutdown.
+inline constexpr std::chrono::milliseconds ShutdownNotice = 500ms;
+inline constexpr std::chrono::milliseconds ShutdownLimit = 60s;
+
+} // namespace siskinstage::config
+
+#endif // SISKINSTAGE_CONFIG_H
--- /dev/null
+++ b/include/siskinstage/record.h
@@ -0,0 +1,47 @@
+#ifndef SISKINSTAGE_RECORD_H
+#define SISKINSTAGE_RECORD_H
+
+#include "siskinstage/account_record.h"
+#include "siskinstage/fleet_record.h"
+#include "siskinstage/route_record.h"
+#include "siskinstage/service_record.h"
+#include "siskinstage/units.h"
+
+#include <string>
+#include <variant>
+
+namespace siskinstage {
+
+/// The newest schema version; older records are upgraded to it in memory.
+inline constexpr int NewestSchema = 2;
+
+enum class RecordKind { Service, Route, Account, Fleet };
+
+/// Name of \p Kind as records write it.
+const char *recordKindName(RecordKind Kind);
+
+/// Marks a record as deleted; its revision keeps older copies from returning.
+struct Tombstone {};
+
+using RecordBody = std::variant<Tombstone, ServiceRecord, RouteRecord,
+                                AccountRecord, FleetRecord>;
+
+/// Kind and name, by which one record is told from another.
+struct RecordKey {
+  RecordKind Kind = RecordKind::Service;
+  std::string Name;
+  auto operator<=>(const RecordKey &) const = default;
+  /// "kind/name".
+  [[nodiscard]] std::string text() const;
+};
+
+/// One accepted record of the configuration, in the newest schema.
+struct Record {
+  RecordKey Key;
+  Revision Rev;
+  RecordBody Body;
+};
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_RECORD_H
--- /dev/null
+++ b/scripts/fleet.py
@@ -0,0 +1,304 @@
+"""Starts and stops a small fleet of real processes on loopback: the platform
+stand-in, target stand-ins, nodes and, if wanted, the fault proxy. Benches,
+integration tests and the demo share it."""
+
+import http.client
+import json
+import os
+import pathlib
+import re
+import signal
+import socket
+import subprocess
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BUILD = pathlib.Path(os.environ.get("SISKINSTAGE_BUILD", ROOT / "build"))
+FLEET_KEYS = "k1:00112233445566778899aabbccddeeff"
+PLATFORM_PORT = 10000
+FAULT_CONTROL_PORT = 10001
+TARGET_CONTROL_PORT = 10100
+TARGET_PORT = 10500
+NODE_PORT = 12000
+OPERATOR_PORT = 14000
+FAULT_PORT = 16000
+READY_SECONDS = 30
+
+
+def call(port, method, path, body=None, timeout=10, headers=None):
+    """One HTTP request to a loopback port; returns status and body text."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    try:
+        connection.request(method, path, body=body, headers=headers or {})
+        answer = connection.getresponse()
+        return answer.status, answer.read().decode(errors="replace")
+    finally:
+        connection.close()
+
+
+def read_records(path):
+    """The records of one file or folder; whole-line // comments are allowed."""
+    path = pathlib.Path(path)
+    files = sorted(path.iterdir()) if path.is_dir() else [path]
+    records = []
+    for file in files:
+        text = re.sub(r"^\s*//.*$", "", file.read_text(), flags=re.M)
+        read = json.loads(text)
+        records += read if isinstance(read, list) else [read]
+    return records
+
+
+def wait_for(condition, seconds, what):
+    """Polls until condition() is true; fails with a clear message."""
+    limit = time.monotonic() + seconds
+    while time.monotonic() < limit:
+        try:
+            if condition():
+                return
+        except (OSError, http.client.HTTPException):
+            pass
+        time.sleep(0.02)
+    raise RuntimeError(f"{what} did not come about within {seconds} s")
+
+
+def port_open(port):
+    with socket.socket() as probe:
+        probe.settimeout(0.5)
+        return probe.connect_ex(("127.0.0.1", port)) == 0
+
+
+class Fleet:
+    """The processes of one run. Use it in a with statement."""
+
+    def __init__(self, example="nl-west", nodes=1, log_dir=None, records=None,
+                 slots=3, log_level="info", through_fault=False):
+        self.example = example
+        self.records = records or read_records(ROOT / "examples" / example)
+        self.node_count = nodes
+        self.slots = slots
+        self.log_level = log_level
+        self.through_fault = through_fault
+        self.log_dir = pathlib.Path(log_dir or ROOT / "out" / "logs")
+        self.processes = {}
+        self.target_index = {}  # target address in the record -> index
+        self.target_service = []  # service name by index
+        self.domains = []
+        self.fault_links = []
+
+    def __enter__(self):
+        self.log_dir.mkdir(parents=True, exist_ok=True)
+        try:
+            self.start_targets()
+            self.start_platform()
+            for index in range(self.node_count):
+                self.start_node(index)
+            self.publish_instances()
+            self.await_ready(range(self.node_count))
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
+
+    # Processes ------------------------------------------------------------
+
+    def spawn(self, name, command):
+        log = open(self.log_dir / f"{name}.log", "ab")
+        self.processes[name] = subprocess.Popen(
+            [str(word) for word in command], stdout=log, stderr=log,
+            stdin=subprocess.DEVNULL)
+        log.close()
+
+    def stop(self):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self.processes.clear()
+
+    def signal(self, name, what):
+        self.processes[name].send_signal(what)
+
+    # Targets and platform ---------------------------------------------------
+
+    def start_targets(self):
+        for record in self.records:
+            if record["kind"] != "service":
+                continue
+            for target in record["targets"]:
+                index = len(self.target_service)
+                address = target if isinstance(target, str) else target["address"]
+                if not isinstance(target, str):
+                    domain = target.get("domain", "")
+                    if domain and domain not in self.domains:
+                        self.domains.append(domain)
+                self.target_index[address] = index
+                self.target_service.append(record["name"])
+        self.domains = self.domains or ["domain-a", "domain-b"]
+        count = len(self.target_service)
+        self.spawn("targets", [
+            BUILD / "tests/standin-target",
+            f"--control=127.0.0.1:{TARGET_CONTROL_PORT}",
+            f"--first={TARGET_PORT}", f"--count={count}",
+            f"--slots={self.slots}"])
+        wait_for(lambda: port_open(TARGET_CONTROL_PORT), 10, "the targets")
+        if self.through_fault:
+            self.fault_links = [
+                (FAULT_PORT + i, TARGET_PORT + i) for i in range(count)]
+            links = ",".join(f"tcp:127.0.0.1:{near}>127.0.0.1:{far}"
+                             for near, far in self.fault_links)
+            self.spawn("fault", [
+                BUILD / "tests/standin-fault",
+                f"--control=127.0.0.1:{FAULT_CONTROL_PORT}",
+                f"--links={links}"])
+            wait_for(lambda: port_open(FAULT_CONTROL_PORT), 10, "the faults")
+
+    def local_address(self, address):
+        first = FAULT_PORT if self.through_fault else TARGET_PORT
+        return f"127.0.0.1:{first + self.target_index[address]}"
+
+    def localized(self, record):
+        """The record with its targets' addresses on loopback."""
+        record = dict(record)
+        if record["kind"] == "service":
+            record["targets"] = [
+                self.local_address(t) if isinstance(t, str)
+                else dict(t, address=self.local_address(t["address"]))
+                for t in record["targets"]]
+        return record
+
+    def start_platform(self):
+        self.spawn("platform", [BUILD / "tests/standin-platform",
+                                f"--listen=127.0.0.1:{PLATFORM_PORT}"])
+        wait_for(lambda: port_open(PLATFORM_PORT), 10, "the platform")
+        self.publish([self.localized(r) for r in self.records])
+
+    def publish(self, records):
+        status, _ = call(PLATFORM_PORT, "POST", "/control/records",
+                         json.dumps(records))
+        assert status == 200
+
+    def platform_mode(self, query):
+        call(PLATFORM_PORT, "POST", f"/control/mode?{query}")
+
+    def platform_calls(self):
+        return json.loads(call(PLATFORM_PORT, "GET", "/control/calls")[1])
+
+    def publish_instances(self, leaving_targets=(), leaving_nodes=(),
+                          gone_nodes=()):
+        instances = []
+        for index in range(self.node_count):
+            if index in gone_nodes:
+                continue
+            instances.append({
+                "id": f"node-{index}", "role": "node",
+                "address": self.node_address(index),
+                "domain": self.domain_of(index),
+                "state": "leaving" if index in leaving_nodes else "live"})
+        first = FAULT_PORT if self.through_fault else TARGET_PORT
+        for index in range(len(self.target_service)):
+            instances.append({
+                "id": f"target-{index}", "role": "target",
+                "address": f"127.0.0.1:{first + index}",
+                "state": "leaving" if index in leaving_targets else "live"})
+        call(PLATFORM_PORT, "POST", "/control/instances",
+             json.dumps(instances))
+
+    def behave(self, target, query):
+        call(TARGET_CONTROL_PORT, "POST", f"/behave?target={target}&{query}")
+
+    def leave(self, target, on=1):
+        call(TARGET_CONTROL_PORT, "POST", f"/leaving?target={target}&on={on}")
+
+    def ledger(self):
+        return json.loads(call(TARGET_CONTROL_PORT, "GET", "/ledger",
+                               timeout=60)[1])
+
+    def target_stats(self):
+        return json.loads(call(TARGET_CONTROL_PORT, "GET", "/stats")[1])
+
+    def fault(self, link, query):
+        call(FAULT_CONTROL_PORT, "POST", f"/rule?link={link}&{query}")
+
+    # Nodes -----------------------------------------------------------------
+
+    def domain_of(self, index):
+        return self.domains[index % len(self.domains)]
+
+    def node_address(self, index):
+        return f"127.0.0.1:{NODE_PORT + index}"
+
+    def start_node(self, index):
+        self.spawn(f"node-{index}", [
+            BUILD / "siskinstaged",
+            f"--listen={self.node_address(index)}",
+            f"--operator_listen=127.0.0.1:{OPERATOR_PORT + index}",
+            f"--platform=127.0.0.1:{PLATFORM_PORT}",
+            f"--id=node-{index}", f"--domain={self.domain_of(index)}",
+            f"--fleet_keys={FLEET_KEYS}", f"--log_level={self.log_level}"])
+
+    def ready(self, index):
+        status, _ = call(OPERATOR_PORT + index, "GET", "/readyz", timeout=2)
+        return status == 200
+
+    def await_ready(self, indexes):
+        for index in indexes:
+            wait_for(lambda: self.ready(index), READY_SECONDS,
+                     f"node {index} being ready")
+            wait_for(lambda: len(self.state(index)["members"]) > 0,
+                     READY_SECONDS, f"node {index} seeing the instance list")
+
+    def state(self, index):
+        return json.loads(call(OPERATOR_PORT + index, "GET", "/state")[1])
+
+    def metrics(self, index):
+        return call(OPERATOR_PORT + index, "GET", "/metrics")[1]
+
+    def node_list(self, indexes=None):
+        return ",".join(self.node_address(i)
+                        for i in (indexes or range(self.node_count)))
+
+    def target_list(self, service):
+        return ",".join(f"127.0.0.1:{TARGET_PORT + i}"
+                        for i, name in enumerate(self.target_service)
+                        if name == service)
+
+    def targets_of(self, service):
+        return [i for i, name in enumerate(self.target_service)
+                if name == service]
+
+    def pid(self, name):
+        return self.processes[name].pid
+
+
+def process_usage(pid):
+    """Resident bytes and processor seconds of a process."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    ticks = int(fields[11]) + int(fields[12])
+    pages = int(fields[21])
+    return (pages * os.sysconf("SC_PAGE_SIZE"),
+            ticks / os.sysconf("SC_CLK_TCK"))
+
+
+def start_load(**flags):
+    """Starts siskinload; finish_load gives its figures."""
+    words = [str(BUILD / "siskinload")]
+    for name, value in flags.items():
+        if value is True:
+            words.append(f"--{name}")
+        else:
+            words.append(f"--{name}={value}")
+    return subprocess.Popen(words, stdout=subprocess.PIPE)
+
+
+def finish_load(process):
+    output, _ = process.communicate()
+    return json.loads(output)
+
+
+def run_load(**flags):
+    return finish_load(start_load(**flags))
--- /dev/null
+++ b/src/core/attempt.cpp
@@ -0,0 +1,46 @@
+#include "core/attempt.h"
+
+namespace siskinstage {
+
+const char *outcomeName(Outcome What) {
+  return What == Outcome::NotRun ? "not-run" : "unknown";
+}
+
+const char *attemptFailureName(AttemptFailure::Kind What) {
+  switch (What) {
+  case AttemptFailure::Kind::ConnectFailed:
+    return "connect-failed";
+  case AttemptFailure::Kind::SendFailed:
+    return "send-failed";
+  case AttemptFailure::Kind::NoAnswer:
+    return "no-answer";
+  case AttemptFailure::Kind::CutAnswer:
+    return "cut-answer";
+  case AttemptFailure::Kind::BadAnswer:
+    return "bad-answer";
+  case AttemptFailure::Kind::Refused:
+    return "refused";
+  case AttemptFailure::Kind::DeadlinePast:
+    return "deadline-past";
+  }
+  return "unknown-failure";
+}
+
+Outcome provedBy(const AttemptFailure &Failure) {
+  if (Failure.What == AttemptFailure::Kind::Refused)
+    return Outcome::NotRun;
+  return Failure.BytesSent ? Outcome::Unknown : Outcome::NotRun;
+}
+
+bool mayRetry(const AttemptFailure &Failure, Repeatability Kind,
+              const RetryCircumstances &Now) {
+  if (Failure.What == AttemptFailure::Kind::DeadlinePast)
+    return false;
+  if (Now.Attempts >= Now.MaxAttempts || !Now.BodyReplayable ||
+      !Now.DeadlineLeft || !Now.TargetLeft)
+    return false;
+  return Kind == Repeatability::Repeatable ||
+         provedBy(Failure) == Outcome::NotRun;
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/core/pick.cpp
@@ -0,0 +1,27 @@
+#include "core/pick.h"
+
+namespace siskinstage {
+
+Policy makePolicy(RoutingPolicy Name) {
+  switch (Name) {
+  case RoutingPolicy::Random:
+    return PickRandom{};
+  case RoutingPolicy::RoundRobin:
+    return PickRoundRobin{};
+  case RoutingPolicy::LeastInFlight:
+    return PickLeastInFlight{};
+  case RoutingPolicy::TwoChoices:
+    return PickTwoChoices{};
+  }
+  return PickTwoChoices{};
+}
+
+std::optional<std::uint32_t>
+pick(Policy &How, const std::vector<Candidate> &Candidates, Random &Dice) {
+  if (Candidates.empty())
+    return std::nullopt;
+  return std::visit(
+      [&](auto &Each) { return pickWith(Each, Candidates, Dice); }, How);
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/core/pick.h
@@ -0,0 +1,59 @@
+#ifndef SISKINSTAGE_CORE_PICK_H
+#define SISKINSTAGE_CORE_PICK_H
+
+#include "core/random.h"
+#include "siskinstage/service_record.h"
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace siskinstage {
+
+/// One target that a request could go to.
+struct Candidate {
+  std::uint32_t Index = 0;    ///< Place in the service's list of targets.
+  std::uint32_t InFlight = 0; ///< Requests of this node at the target.
+  std::uint32_t Reported = 0; ///< Requests that the target last reported.
+  bool SameDomain = false;    ///< In the failure domain of this node.
+};
+
+/// Any candidate.
+struct PickRandom {};
+
+/// One after another. The counter goes on over calls.
+struct PickRoundRobin {
+  std::uint32_t Next = 0;
+};
+
+/// The fewest requests of this node in flight.
+struct PickLeastInFlight {};
+
+/// The better of two candidates drawn at random, by this node's requests in
+/// flight and the load that the target reported.
+struct PickTwoChoices {};
+
+using Policy =
+    std::variant<PickRandom, PickRoundRobin, PickLeastInFlight, PickTwoChoices>;
+
+/// The policy object that a record's name stands for.
+Policy makePolicy(RoutingPolicy Name);
+
+/// Chooses one of \p Candidates; each policy stands in a file pick_*.cpp.
+/// \returns its Index, or nothing if there is none.
+std::optional<std::uint32_t>
+pick(Policy &How, const std::vector<Candidate> &Candidates, Random &Dice);
+
+std::uint32_t pickWith(PickRandom &How,
+                       const std::vector<Candidate> &Candidates, Random &Dice);
+std::uint32_t pickWith(PickRoundRobin &How,
+                       const std::vector<Candidate> &Candidates, Random &Dice);
+std::uint32_t pickWith(PickLeastInFlight &How,
+                       const std::vector<Candidate> &Candidates, Random &Dice);
+std::uint32_t pickWith(PickTwoChoices &How,
+                       const std::vector<Candidate> &Candidates, Random &Dice);
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_CORE_PICK_H
--- /dev/null
+++ b/src/core/pick_two_choices.cpp
@@ -0,0 +1,29 @@
+#include "core/pick.h"
+
+#include <algorithm>
+
+namespace siskinstage {
+
+namespace {
+
+std::uint32_t loadOf(const Candidate &Each) {
+  return std::max(Each.InFlight, Each.Reported);
+}
+
+bool better(const Candidate &Left, const Candidate &Right) {
+  if (loadOf(Left) != loadOf(Right))
+    return loadOf(Left) < loadOf(Right);
+  return Left.SameDomain && !Right.SameDomain;
+}
+
+} // namespace
+
+std::uint32_t pickWith(PickTwoChoices & /*How*/,
+                       const std::vector<Candidate> &Candidates, Random &Dice) {
+  const auto Count = static_cast<std::uint32_t>(Candidates.size());
+  const Candidate &First = Candidates[Dice.below(Count)];
+  const Candidate &Second = Candidates[Dice.below(Count)];
+  return better(Second, First) ? Second.Index : First.Index;
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/core/random.h
@@ -0,0 +1,25 @@
+#ifndef SISKINSTAGE_CORE_RANDOM_H
+#define SISKINSTAGE_CORE_RANDOM_H
+
+#include <cstdint>
+#include <pcg_random.hpp>
+
+namespace siskinstage {
+
+/// Random numbers from a seed; the core gets one as an argument.
+class Random {
+public:
+  explicit Random(std::uint64_t Seed) : Engine(Seed) {}
+
+  /// A number from 0 to \p Count - 1. \pre Count > 0.
+  std::uint32_t below(std::uint32_t Count) { return this->Engine(Count); }
+  /// A number from 0 up to, but without, 1.
+  double unit() { return static_cast<double>(this->Engine()) * 0x1p-32; }
+
+private:
+  pcg32 Engine;
+};
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_CORE_RANDOM_H
--- /dev/null
+++ b/src/core/record_parser.cpp
@@ -0,0 +1,238 @@
+#include "core/record_parser.h"
+#include "core/address.h"
+#include "core/record_upgrade.h"
+
+#include <algorithm>
+#include <cctype>
+#include <json/reader.h>
+#include <limits>
+#include <memory>
+#include <set>
+
+namespace siskinstage {
+
+namespace {
+
+constexpr std::uint64_t MaxSlots = 10'000;
+constexpr std::uint64_t MaxConcurrency = 1'000'000;
+constexpr double MaxRate = 1e9;
+constexpr std::size_t MaxNameBytes = 200;
+
+const std::vector<std::string> KindNames = {"service", "route", "account",
+                                            "fleet"};
+const std::vector<std::string> DetectionNames = {"fast", "careful"};
+const std::vector<std::string> PolicyNames = {"random", "round_robin",
+                                              "least_in_flight", "two_choices"};
+
+bool isNameByte(char Byte) {
+  return std::isalnum(static_cast<unsigned char>(Byte)) != 0 || Byte == '-' ||
+         Byte == '_' || Byte == '.';
+}
+
+bool isName(const std::string &Text) {
+  return !Text.empty() && Text.size() <= MaxNameBytes &&
+         std::all_of(Text.begin(), Text.end(), isNameByte);
+}
+
+std::string readName(FieldReader &Fields, const std::string &Field) {
+  std::string Name = Fields.requiredText(Field);
+  if (!Name.empty() && !isName(Name))
+    Fields.fault(Field, "up to 200 letters, digits, '-', '_' or '.'");
+  return Name;
+}
+
+TargetSpec readTarget(const Json::Value &Value, const std::string &Path,
+                      RecordReading &Reading) {
+  if (!Value.isObject()) {
+    Reading.Faults.push_back({Path, Value.isString() ? Value.asString() : "?",
+                              "an object with id, address and domain"});
+    return {};
+  }
+  FieldReader Fields(Value, Path, Reading.Faults);
+  TargetSpec Target;
+  Target.Where = Address(Fields.requiredText("address"));
+  Target.Id = TargetId(Fields.text("id", Target.Where.str()));
+  Target.Domain = FailureDomain(Fields.text("domain", ""));
+  if (!Target.Where.empty() && !parseAddress(Target.Where.str()))
+    Fields.fault("address", "an IPv4 address and port, as 10.0.0.1:8080");
+  for (const std::string &Field : Fields.unknownFields())
+    Reading.Warnings.push_back("unknown field " + Field);
+  return Target;
+}
+
+std::vector<TargetSpec> readTargets(FieldReader &Fields,
+                                    RecordReading &Reading) {
+  std::vector<TargetSpec> Targets;
+  std::set<std::string> Seen;
+  const Json::Value &List = Fields.list("targets", true);
+  for (Json::ArrayIndex I = 0; I < List.size(); ++I) {
+    const std::string Path =
+        Fields.pathOf("targets[" + std::to_string(I) + "]");
+    Targets.push_back(readTarget(List[I], Path, Reading));
+    const std::string &Id = Targets.back().Id.str();
+    if (!Seen.insert(Id).second)
+      Reading.Faults.push_back({Path + ".id", "\"" + Id + "\" a second time",
+                                "an id used once in the record"});
+  }
+  return Targets;
+}
+
+ServiceRecord readService(FieldReader &Fields, RecordReading &Reading,
+                          const std::string &Name) {
+  ServiceRecord Service;
+  Service.Name = ServiceName(Name);
+  Service.Targets = readTargets(Fields, Reading);
+  Service.SlotsPerTarget.Value =
+      static_cast<std::uint32_t>(Fields.number("slots", 3, 1, MaxSlots));
+  Service.Floor = Fields.fraction("floor", 0.5, 0, 1);
+  Service.Detection = static_cast<DetectionPreference>(
+      Fields.choice("detection", DetectionNames, 1));
+  Service.Policy = static_cast<RoutingPolicy>(
+      Fields.choice("policy", PolicyNames,
+                    static_cast<std::size_t>(RoutingPolicy::TwoChoices)));
+  const auto MostMs = static_cast<std::uint64_t>(config::MaxDeadline.count());
+  const auto UsualMs =
+      static_cast<std::uint64_t>(config::DefaultDeadline.count());
+  Service.Deadline = Millis(Fields.number("deadline_ms", UsualMs, 1, MostMs));
+  Service.RequireEcho = Fields.flag("require_echo").value_or(false);
+  return Service;
+}
+
+RouteRecord readRoute(FieldReader &Fields, RecordReading &Reading,
+                      const std::string &Name) {
+  RouteRecord Route;
+  Route.Name = RouteName(Name);
+  Route.Host = Fields.text("host", "");
+  std::transform(Route.Host.begin(), Route.Host.end(), Route.Host.begin(),
+                 [](unsigned char C) { return std::tolower(C); });
+  Route.PathPrefix = Fields.requiredText("path_prefix");
+  if (!Route.PathPrefix.empty() && Route.PathPrefix.front() != '/')
+    Fields.fault("path_prefix", "a path that starts with \"/\"");
+  Route.Methods = Fields.textList("methods");
+  for (const std::string &Method : Route.Methods)
+    if (!std::all_of(Method.begin(), Method.end(),
+                     [](unsigned char C) { return std::isupper(C) != 0; }))
+      Reading.Faults.push_back({Fields.pathOf("methods"), "\"" + Method + "\"",
+                                "a method in capitals, as \"GET\""});
+  Route.Service = ServiceName(readName(Fields, "service"));
+  Route.Repeatable = Fields.flag("repeatable");
+  return Route;
+}
+
+AccountRecord readAccount(FieldReader &Fields, const std::string &Name) {
+  AccountRecord Account;
+  Account.Name = AccountName(Name);
+  Account.RatePerSecond = Fields.fraction("rate_per_s", 0, 0, MaxRate);
+  Account.Concurrency = static_cast<std::uint32_t>(
+      Fields.number("concurrency", 0, 0, MaxConcurrency));
+  return Account;
+}
+
+FleetRecord readFleet(FieldReader &Fields, const std::string &Name) {
+  FleetRecord Fleet;
+  Fleet.Name = Name;
+  Fleet.RetryBudget =
+      Fields.fraction("retry_budget", config::RetryBudgetFraction, 0, 1);
+  Fleet.EntriesPerAccount =
+      Fields.number("entries_per_account", config::EntriesPerAccount, 1, 64);
+  return Fleet;
+}
+
+RecordBody readBody(FieldReader &Fields, RecordReading &Reading,
+                    const RecordKey &Key) {
+  switch (Key.Kind) {
+  case RecordKind::Service:
+    return readService(Fields, Reading, Key.Name);
+  case RecordKind::Route:
+    return readRoute(Fields, Reading, Key.Name);
+  case RecordKind::Account:
+    return readAccount(Fields, Key.Name);
+  case RecordKind::Fleet:
+    return readFleet(Fields, Key.Name);
+  }
+  return Tombstone{};
+}
+
+/// The value in the newest schema, or nothing with a fault noted.
+std::optional<Json::Value> upgraded(const Json::Value &Value,
+                                    std::vector<FieldFault> &Faults) {
+  const Json::Value &Schema = Value["schema"];
+  if (Schema.isInt() && Schema.asInt() == 1)
+    return upgradeSchema1(Value);
+  if (Schema.isInt() && Schema.asInt() == NewestSchema)
+    return Value;
+  FieldReader(Value, "", Faults).fault("schema", "1 or 2");
+  return std::nullopt;
+}
+
+std::string labelOf(const Json::Value &Value) {
+  const Json::Value &Kind = Value["kind"];
+  const Json::Value &Name = Value["name"];
+  return (Kind.isString() ? Kind.asString() : "?") + "/" +
+         (Name.isString() ? Name.asString() : "?");
+}
+
+} // namespace
+
+const char *recordKindName(RecordKind Kind) {
+  return KindNames[static_cast<std::size_t>(Kind)].c_str();
+}
+
+std::string RecordKey::text() const {
+  return std::string(recordKindName(this->Kind)) + "/" + this->Name;
+}
+
+RecordReading readRecord(const Json::Value &Value) {
+  RecordReading Reading;
+  if (!Value.isObject()) {
+    Reading.Label = "?/?";
+    Reading.Faults.push_back({"(record)", "no object", "a JSON object"});
+    return Reading;
+  }
+  Reading.Label = labelOf(Value);
+  const auto Newest = upgraded(Value, Reading.Faults);
+  if (!Newest)
+    return Reading;
+
+  FieldReader Fields(*Newest, "", Reading.Faults);
+  Record Read;
+  Fields.number("schema", NewestSchema, NewestSchema, NewestSchema);
+  Fields.requiredText("kind");
+  Read.Key.Kind = static_cast<RecordKind>(Fields.choice("kind", KindNames, 0));
+  Read.Key.Name = readName(Fields, "name");
+  Read.Rev.Value = Fields.requiredNumber(
+      "revision", 1,
+      static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max()));
+  if (Fields.flag("deleted").value_or(false))
+    Read.Body = Tombstone{};
+  else
+    Read.Body = readBody(Fields, Reading, Read.Key);
+  for (const std::string &Field : Fields.unknownFields())
+    Reading.Warnings.push_back("unknown field " + Field);
+  if (Reading.Faults.empty())
+    Reading.Accepted = std::move(Read);
+  return Reading;
+}
+
+Result<std::vector<Json::Value>> parseRecords(const std::string &Text,
+                                              const std::string &Source) {
+  Json::CharReaderBuilder Builder;
+  Builder["failIfExtra"] = true;
+  Builder["rejectDupKeys"] = true;
+  Builder["stackLimit"] = 64;
+  const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
+  Json::Value Root;
+  std::string Faults;
+  try {
+    if (!Reader->parse(Text.data(), Text.data() + Text.size(), &Root, &Faults))
+      return fail(Step::Records, Source, "not JSON: " + Faults);
+  } catch (const Json::Exception &Fault) {
+    return fail(Step::Records, Source,
+                std::string("not JSON: ") + Fault.what());
+  }
+  if (!Root.isArray())
+    return std::vector<Json::Value>{Root};
+  return std::vector<Json::Value>(Root.begin(), Root.end());
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/net/flag_reader.cpp
@@ -0,0 +1,79 @@
+#include "net/flag_reader.h"
+
+#include <absl/flags/commandlineflag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/reflection.h>
+#include <algorithm>
+#include <cctype>
+#include <cstdlib>
+#include <deque>
+
+namespace siskinstage {
+
+namespace {
+
+constexpr const char *EnvironmentPrefix = "SISKINSTAGE_";
+
+std::string variableName(const std::string &Flag) {
+  std::string Name = EnvironmentPrefix;
+  for (const char Byte : Flag)
+    Name += static_cast<char>(std::toupper(static_cast<unsigned char>(Byte)));
+  return Name;
+}
+
+/// "--print-settings=x" as "--print_settings=x"; other words as they are.
+std::string normalizedFlag(const std::string &Word) {
+  if (Word.substr(0, 2) != "--")
+    return Word;
+  std::string Result = Word;
+  const std::size_t End = std::min(Result.find('='), Result.size());
+  std::replace(Result.begin() + 2,
+               Result.begin() + static_cast<std::ptrdiff_t>(End), '-', '_');
+  return Result;
+}
+
+bool isKnownFlag(const std::string &Word) {
+  const std::string Name = Word.substr(2, Word.find('=') - 2);
+  if (absl::FindCommandLineFlag(Name) != nullptr)
+    return true;
+  const bool Negated = Name.substr(0, 2) == "no";
+  return Negated && absl::FindCommandLineFlag(Name.substr(2)) != nullptr;
+}
+
+void readEnvironment(const std::vector<std::string> &Names,
+                     std::vector<Error> &Faults) {
+  for (const std::string &Name : Names) {
+    const char *Value = std::getenv(variableName(Name).c_str());
+    absl::CommandLineFlag *Flag = absl::FindCommandLineFlag(Name);
+    if (Value == nullptr || Flag == nullptr)
+      continue;
+    std::string Reason;
+    if (!Flag->ParseFrom(Value, &Reason))
+      Faults.push_back({Step::Settings, variableName(Name), Reason});
+  }
+}
+
+} // namespace
+
+std::vector<std::string> readFlags(int Argc, char **Argv,
+                                   const std::vector<std::string> &Names,
+                                   std::vector<Error> &Faults) {
+  readEnvironment(Names, Faults);
+  // Abseil keeps pointers to the words that are no flags.
+  static std::deque<std::string> Words;
+  std::vector<char *> Known;
+  for (int I = 0; I < Argc; ++I) {
+    Words.push_back(normalizedFlag(Argv[I]));
+    const std::string &Word = Words.back();
+    const bool IsFlag = I > 0 && Word.size() > 2 && Word.substr(0, 2) == "--";
+    if (IsFlag && !isKnownFlag(Word))
+      Faults.push_back({Step::Settings, Word, "there is no such flag"});
+    else
+      Known.push_back(Words.back().data());
+  }
+  const std::vector<char *> Rest =
+      absl::ParseCommandLine(static_cast<int>(Known.size()), Known.data());
+  return {Rest.begin() + 1, Rest.end()};
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/net/http_io.cpp
@@ -0,0 +1,216 @@
+#include "net/http_io.h"
+#include "net/boot_time.h"
+#include "siskinstage/config.h"
+
+#include <Poco/Exception.h>
+#include <Poco/MemoryStream.h>
+#include <Poco/String.h>
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <sstream>
+
+namespace siskinstage {
+
+namespace {
+
+constexpr std::array<const char *, 9> HopHeaders = {"Connection",
+                                                    "Keep-Alive",
+                                                    "Proxy-Connection",
+                                                    "TE",
+                                                    "Trailer",
+                                                    "Transfer-Encoding",
+                                                    "Upgrade",
+                                                    "Proxy-Authenticate",
+                                                    "Proxy-Authorization"};
+
+/// Headers that a Connection header may not take away.
+bool isEndToEnd(const std::string &Name) {
+  return Poco::icompare(Name, "Host") == 0 ||
+         Poco::icompare(Name, "Content-Length") == 0 ||
+         Poco::icompare(Name, "Idempotency-Key") == 0 ||
+         Poco::icompare(Name, 0, 11, "Siskinstage") == 0;
+}
+
+std::size_t leadingEmptyLines(std::string_view Bytes) {
+  std::size_t Length = 0;
+  while (Bytes.substr(Length, 2) == "\r\n")
+    Length += 2;
+  return Length;
+}
+
+template <typename Message>
+ReadResult<Message> parsed(const std::string &Head, int Status) {
+  try {
+    Poco::MemoryInputStream Stream(Head.data(),
+                                   static_cast<std::streamsize>(Head.size()));
+    Message Result;
+    Result.read(Stream);
+    return Result;
+  } catch (const Poco::Exception &Fault) {
+    return tl::unexpected<ReadFault>(
+        HttpRefusal{Status, "the head is malformed: " + Fault.displayText()});
+  }
+}
+
+template <typename Message> std::string written(const Message &From) {
+  std::ostringstream Stream;
+  From.write(Stream);
+  return Stream.str();
+}
+
+} // namespace
+
+std::string readFaultText(const ReadFault &Fault) {
+  return std::visit([](const auto &Each) { return Each.Reason; }, Fault);
+}
+
+ReadResult<std::string> readHead(Wire &From, HeadKind Kind, Instant FirstByte,
+                                 Duration HeadTime, const Wire *Watched) {
+  Instant Deadline = FirstByte;
+  bool Started = false;
+  while (true) {
+    if (Kind == HeadKind::Request)
+      From.consume(leadingEmptyLines(From.buffered()));
+    const std::size_t Length = headLength(From.buffered());
+    if (Length > config::MaxHeaderBytes ||
+        (Length == 0 && From.buffered().size() > config::MaxHeaderBytes))
+      return tl::unexpected<ReadFault>(
+          HttpRefusal{431, "the head is longer than 32 KiB"});
+    if (Length > 0) {
+      auto Head = normalizeHead(From.buffered().substr(0, Length), Kind);
+      From.consume(Length);
+      if (!Head)
+        return tl::unexpected<ReadFault>(Head.error());
+      return std::move(*Head);
+    }
+    if (!Started && !From.buffered().empty()) {
+      Started = true;
+      Deadline = bootNow() + HeadTime;
+    }
+    const auto Filled = From.fill(Deadline, Watched);
+    if (!Filled)
+      return tl::unexpected<ReadFault>(Filled.error());
+  }
+}
+
+ReadResult<Poco::Net::HTTPRequest> parseRequest(const std::string &Head) {
+  return parsed<Poco::Net::HTTPRequest>(Head, 400);
+}
+
+ReadResult<Poco::Net::HTTPResponse> parseAnswer(const std::string &Head) {
+  return parsed<Poco::Net::HTTPResponse>(Head, 502);
+}
+
+std::vector<std::string> headerValues(const Poco::Net::HTTPMessage &Message,
+                                      const std::string &Name) {
+  std::vector<std::string> Values;
+  for (auto At = Message.find(Name);
+       At != Message.end() && Poco::icompare(At->first, Name) == 0; ++At)
+    Values.push_back(At->second);
+  return Values;
+}
+
+FramingFields framingFields(const Poco::Net::HTTPMessage &Message) {
+  return {headerValues(Message, "Content-Length"),
+          headerValues(Message, "Transfer-Encoding"),
+          Message.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0};
+}
+
+void dropHopHeaders(Poco::Net::HTTPMessage &Message) {
+  for (const std::string &Value : headerValues(Message, "Connection")) {
+    std::istringstream Items(Value);
+    std::string Item;
+    while (std::getline(Items, Item, ',')) {
+      Poco::trimInPlace(Item);
+      if (!Item.empty() && !isEndToEnd(Item))
+        Message.erase(Item);
+    }
+  }
+  for (const char *Name : HopHeaders)
+    Message.erase(Name);
+}
+
+BodyReader::BodyReader(const BodyFraming &Framing) : Framing(Framing) {
+  if (const auto *Fixed = std::get_if<FixedBody>(&Framing))
+    this->Remaining = Fixed->Length;
+  this->Done =
+      !std::holds_alternative<ChunkedBody>(Framing) && this->Remaining == 0;
+}
+
+ReadResult<void> BodyReader::readFixed(Wire &From, std::string &Into) {
+  const std::string_view Ready = From.buffered();
+  const auto Taken = static_cast<std::size_t>(
+      std::min<std::uint64_t>(this->Remaining, Ready.size()));
+  Into += Ready.substr(0, Taken);
+  From.consume(Taken);
+  this->Remaining -= Taken;
+  this->Done = this->Remaining == 0;
+  return {};
+}
+
+ReadResult<void> BodyReader::readChunks(Wire &From, std::string &Into) {
+  while (!From.buffered().empty() && !this->Done) {
+    const auto Step = this->Chunks.step(From.buffered());
+    if (!Step)
+      return tl::unexpected<ReadFault>(Step.error());
+    Into += Step->Data;
+    From.consume(Step->Consumed);
+    this->Done = this->Chunks.done();
+  }
+  return {};
+}
+
+ReadResult<void> BodyReader::read(Wire &From, std::string &Into,
+                                  Instant Deadline, const Wire *Watched) {
+  const std::size_t Before = Into.size();
+  while (!this->Done && Into.size() == Before) {
+    if (From.buffered().empty()) {
+      const auto Filled = From.fill(Deadline, Watched);
+      if (!Filled)
+        return tl::unexpected<ReadFault>(Filled.error());
+    }
+    const bool Chunked = std::holds_alternative<ChunkedBody>(this->Framing);
+    const auto Read =
+        Chunked ? this->readChunks(From, Into) : this->readFixed(From, Into);
+    if (!Read)
+      return Read;
+  }
+  return {};
+}
+
+ReadResult<std::string> readWholeBody(Wire &From, const BodyFraming &Framing,
+                                      std::size_t MaxBytes, Instant Deadline) {
+  BodyReader Reader(Framing);
+  std::string Body;
+  while (!Reader.done()) {
+    const auto Read = Reader.read(From, Body, Deadline);
+    if (!Read)
+      return tl::unexpected<ReadFault>(Read.error());
+    if (Body.size() > MaxBytes)
+      return tl::unexpected<ReadFault>(
+          HttpRefusal{413, "the body is longer than " +
+                               std::to_string(MaxBytes) + " bytes"});
+  }
+  return Body;
+}
+
+std::string headText(const Poco::Net::HTTPRequest &Message) {
+  return written(Message);
+}
+
+std::string headText(const Poco::Net::HTTPResponse &Message) {
+  return written(Message);
+}
+
+std::string chunkText(std::string_view Data) {
+  std::array<char, 20> Digits{};
+  const auto End = std::to_chars(Digits.data(), Digits.data() + Digits.size(),
+                                 Data.size(), 16);
+  std::string Text(Digits.data(), End.ptr);
+  Text += "\r\n";
+  Text += Data;
+  return Text + "\r\n";
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/net/wire.cpp
@@ -0,0 +1,191 @@
+#include "net/wire.h"
+#include "net/boot_time.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocketImpl.h>
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <poll.h>
+
+namespace siskinstage {
+
+namespace {
+
+constexpr std::size_t ReadBytes = 16 * 1024;
+
+tl::unexpected<WireFault> fault(WireFault::Kind What, std::string Reason) {
+  return tl::unexpected<WireFault>(WireFault{What, std::move(Reason)});
+}
+
+int pollMillis(Duration Left) {
+  // Rounds up, so that a wait never ends just before its deadline.
+  const auto Millis = std::chrono::ceil<siskinstage::Millis>(Left).count();
+  return static_cast<int>(std::min<std::int64_t>(Millis, 60'000));
+}
+
+bool isGone(short Events) {
+  const bool Ended = (Events & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  return Ended;
+}
+
+} // namespace
+
+WireResult<Wire> Wire::connect(const Address &Where, Instant Deadline) {
+  try {
+    Poco::Net::StreamSocket Socket;
+    const auto Left = std::chrono::ceil<std::chrono::microseconds>(
+        std::max<Duration>(timeLeft(Deadline), Millis(1)));
+    Socket.connect(Poco::Net::SocketAddress(Where.str()),
+                   Poco::Timespan(Left.count()));
+    return Wire(Socket);
+  } catch (const Poco::TimeoutException &) {
+    return fault(WireFault::Kind::Refused, "connecting timed out");
+  } catch (const Poco::Exception &Fault) {
+    return fault(WireFault::Kind::Refused, Fault.displayText());
+  }
+}
+
+Wire::Wire(const Poco::Net::StreamSocket &Socket) : Socket(Socket) {
+  this->Socket.setNoDelay(true);
+  this->Socket.setBlocking(false);
+}
+
+int Wire::descriptor() const { return this->Socket.impl()->sockfd(); }
+
+std::string_view Wire::buffered() const {
+  return std::string_view(this->Buffer).substr(this->Used);
+}
+
+void Wire::consume(std::size_t Bytes) {
+  this->Used += Bytes;
+  if (this->Used < this->Buffer.size())
+    return;
+  this->Buffer.clear();
+  this->Used = 0;
+}
+
+void Wire::shrink() {
+  if (!this->buffered().empty())
+    return;
+  this->Buffer = std::string();
+  this->Used = 0;
+}
+
+WireResult<void> Wire::awaitEvent(short Events, Instant Deadline,
+                                  const Wire *Watched) const {
+  std::array<pollfd, 2> Polled{};
+  Polled[0] = {this->descriptor(), Events, 0};
+  nfds_t Count = 1;
+  if (Watched != nullptr) {
+    Polled[1] = {Watched->descriptor(), POLLRDHUP, 0};
+    Count = 2;
+  }
+  while (true) {
+    const Duration Left = timeLeft(Deadline);
+    if (Left == Duration::zero())
+      return fault(WireFault::Kind::Timeout, "the deadline passed");
+    const int Ready = ::poll(Polled.data(), Count, pollMillis(Left));
+    if (Ready < 0 && errno != EINTR)
+      return fault(WireFault::Kind::Broken, "poll failed");
+    if (Ready <= 0)
+      continue;
+    if (Polled[0].revents != 0)
+      return {};
+    if (isGone(Polled[1].revents))
+      return fault(WireFault::Kind::Cancelled, "the caller has gone");
+  }
+}
+
+WireResult<std::size_t> Wire::fill(Instant Deadline, const Wire *Watched) {
+  if (this->Used > 0) {
+    this->Buffer.erase(0, this->Used);
+    this->Used = 0;
+  }
+  const std::size_t Old = this->Buffer.size();
+  while (true) {
+    int Got = 0;
+    this->Buffer.resize(Old + ReadBytes);
+    try {
+      Got = this->Socket.receiveBytes(this->Buffer.data() + Old,
+                                      static_cast<int>(ReadBytes));
+    } catch (const Poco::Exception &Fault) {
+      this->Buffer.resize(Old);
+      return fault(WireFault::Kind::Broken, Fault.displayText());
+    }
+    this->Buffer.resize(Old + static_cast<std::size_t>(std::max(Got, 0)));
+    if (Got > 0)
+      return static_cast<std::size_t>(Got);
+    if (Got == 0)
+      return fault(WireFault::Kind::Closed, "the peer closed the connection");
+    const auto Ready = this->awaitEvent(POLLIN, Deadline, Watched);
+    if (!Ready)
+      return tl::unexpected<WireFault>(Ready.error());
+  }
+}
+
+WireResult<void> Wire::write(std::string_view Bytes, Instant Deadline,
+                             std::size_t &Sent) {
+  while (!Bytes.empty()) {
+    int Taken = 0;
+    try {
+      Taken =
+          this->Socket.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
+    } catch (const Poco::Exception &Fault) {
+      return fault(WireFault::Kind::Broken, Fault.displayText());
+    }
+    if (Taken > 0) {
+      Sent += static_cast<std::size_t>(Taken);
+      Bytes.remove_prefix(static_cast<std::size_t>(Taken));
+      continue;
+    }
+    const auto Ready = this->awaitEvent(POLLOUT, Deadline, nullptr);
+    if (!Ready)
+      return Ready;
+  }
+  return {};
+}
+
+WireResult<void> Wire::write(std::string_view Bytes, Instant Deadline) {
+  std::size_t Sent = 0;
+  return this->write(Bytes, Deadline, Sent);
+}
+
+bool Wire::stale() const {
+  pollfd Polled{this->descriptor(), POLLIN | POLLRDHUP, 0};
+  return !this->buffered().empty() || ::poll(&Polled, 1, 0) != 0;
+}
+
+bool Wire::peerGone() const {
+  pollfd Polled{this->descriptor(), POLLRDHUP, 0};
+  return ::poll(&Polled, 1, 0) != 0;
+}
+
+void Wire::abort() {
+  try {
+    this->Socket.setLinger(true, 0);
+  } catch (const Poco::Exception &) {
+    // The socket is closed already.
+  }
+  this->close();
+}
+
+void Wire::close() {
+  try {
+    this->Socket.close();
+  } catch (const Poco::Exception &) {
+    // A socket that can't be closed is of no more use.
+  }
+}
+
+std::string Wire::peer() const {
+  try {
+    return this->Socket.peerAddress().toString();
+  } catch (const Poco::Exception &) {
+    return "a closed connection";
+  }
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/net/wire.h
@@ -0,0 +1,75 @@
+#ifndef SISKINSTAGE_NET_WIRE_H
+#define SISKINSTAGE_NET_WIRE_H
+
+#include "siskinstage/strong_id.h"
+#include "siskinstage/units.h"
+
+#include <Poco/Net/StreamSocket.h>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace siskinstage {
+
+/// Why a read or write on a connection did not come about.
+struct WireFault {
+  enum class Kind {
+    Timeout,   ///< The deadline passed.
+    Closed,    ///< The peer ended its side in order.
+    Broken,    ///< Reset or another error.
+    Refused,   ///< No connection came about.
+    Cancelled, ///< The watched connection's peer has gone.
+  };
+  Kind What = Kind::Broken;
+  std::string Reason;
+};
+
+template <typename T> using WireResult = tl::expected<T, WireFault>;
+
+/// A TCP connection with a read buffer and deadlines in place of blocking.
+class Wire {
+public:
+  /// Connects to \p Where before \p Deadline.
+  static WireResult<Wire> connect(const Address &Where, Instant Deadline);
+
+  /// Takes over a connected socket.
+  explicit Wire(const Poco::Net::StreamSocket &Socket);
+
+  /// Bytes that were read and not consumed.
+  [[nodiscard]] std::string_view buffered() const;
+  void consume(std::size_t Bytes);
+  /// Reads more bytes into the buffer.
+  /// \param Watched if not null, ends with Cancelled when its peer goes away.
+  /// \returns how many; a fault Closed at the end of the stream.
+  WireResult<std::size_t> fill(Instant Deadline, const Wire *Watched = nullptr);
+  /// Writes all of \p Bytes.
+  /// \param Sent grows by the bytes handed to the system, also on a fault.
+  WireResult<void> write(std::string_view Bytes, Instant Deadline,
+                         std::size_t &Sent);
+  WireResult<void> write(std::string_view Bytes, Instant Deadline);
+  /// Whether the peer has ended or reset the connection, or has sent bytes
+  /// that nobody asked for.
+  [[nodiscard]] bool stale() const;
+  /// Whether the peer has ended or reset the connection.
+  [[nodiscard]] bool peerGone() const;
+  /// Gives the read buffer's memory back while the connection is idle.
+  void shrink();
+  /// Ends the connection at once with a reset, so that the peer can't take a
+  /// cut answer for a whole one.
+  void abort();
+  void close();
+  [[nodiscard]] std::string peer() const;
+
+private:
+  Poco::Net::StreamSocket Socket;
+  std::string Buffer;
+  std::size_t Used = 0; ///< Bytes of Buffer that were consumed.
+
+  [[nodiscard]] int descriptor() const;
+  WireResult<void> awaitEvent(short Events, Instant Deadline,
+                              const Wire *Watched) const;
+};
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NET_WIRE_H
--- /dev/null
+++ b/src/node/caller_reply.cpp
@@ -0,0 +1,122 @@
+#include "node/caller_reply.h"
+#include "net/boot_time.h"
+#include "node/header_names.h"
+#include "siskinstage/config.h"
+
+namespace siskinstage {
+
+namespace {
+
+using Poco::Net::HTTPMessage;
+using Poco::Net::HTTPResponse;
+
+bool keepsConnection(const CallerRequest &Request) {
+  for (const std::string &Value : headerValues(Request.Head, "Connection")) {
+    if (Poco::icompare(Value, "close") == 0)
+      return false;
+    if (Poco::icompare(Value, "keep-alive") == 0)
+      return true;
+  }
+  return !Request.Http10;
+}
+
+bool hasNoBody(int Status) {
+  return Status == 204 || Status == 304 || Status < 200;
+}
+
+} // namespace
+
+CallerReply::CallerReply(Wire &Caller, const CallerRequest &Request)
+    : Caller(Caller), Id(Request.Id), Http10(Request.Http10),
+      HeadOnly(Request.Head.getMethod() == "HEAD"),
+      Keyed(Request.Key.has_value()), Close(!keepsConnection(Request)) {}
+
+CallerReply::CallerReply(Wire &Caller, RequestId Id)
+    : Caller(Caller), Id(std::move(Id)), Close(true) {}
+
+HTTPResponse CallerReply::headOf(const StoredAnswer &Answer) {
+  HTTPResponse Head(HTTPMessage::HTTP_1_1,
+                    static_cast<HTTPResponse::HTTPStatus>(Answer.Status),
+                    Answer.Reason);
+  for (const auto &[Name, Value] : Answer.Headers)
+    Head.add(Name, Value);
+  Head.set(header::RequestId, this->Id.str());
+  this->Status = Answer.Status;
+  return Head;
+}
+
+void CallerReply::send(std::string_view Bytes) {
+  const auto Sent =
+      this->Caller.write(Bytes, bootNow() + config::CallerWriteTimeout);
+  if (Sent)
+    return;
+  this->Close = true;
+}
+
+void CallerReply::refuse(const Refusal &Refused) {
+  StoredAnswer Answer;
+  Answer.Status = Refused.Status;
+  Answer.Reason = HTTPResponse::getReasonForStatus(
+      static_cast<HTTPResponse::HTTPStatus>(Refused.Status));
+  Answer.Headers = {{"Content-Type", "application/json"},
+                    {header::Outcome, outcomeName(Refused.What)}};
+  if (Refused.RetryAfter) {
+    const auto Seconds =
+        std::chrono::ceil<std::chrono::seconds>(*Refused.RetryAfter);
+    Answer.Headers.emplace_back(
+        "Retry-After",
+        std::to_string(std::max<std::int64_t>(1, Seconds.count())));
+  }
+  Answer.Body = refusalBody(Refused, this->Keyed);
+  this->whole(Answer);
+}
+
+void CallerReply::whole(const StoredAnswer &Answer) {
+  HTTPResponse Head = this->headOf(Answer);
+  // The answer to HEAD keeps the length that the target stated.
+  if (!this->HeadOnly && !hasNoBody(Answer.Status))
+    Head.setContentLength64(static_cast<Poco::Int64>(Answer.Body.size()));
+  Head.setKeepAlive(!this->Close);
+  std::string Text = headText(Head);
+  if (!this->HeadOnly && !hasNoBody(Answer.Status))
+    Text += Answer.Body;
+  this->send(Text);
+}
+
+void CallerReply::begin(const StoredAnswer &Answer,
+                        std::optional<std::uint64_t> Length) {
+  HTTPResponse Head = this->headOf(Answer);
+  this->Chunked = !Length && !this->Http10;
+  if (Length)
+    Head.setContentLength64(static_cast<Poco::Int64>(*Length));
+  else if (this->Chunked)
+    Head.setChunkedTransferEncoding(true);
+  else
+    this->Close = true;
+  Head.setKeepAlive(!this->Close);
+  this->send(headText(Head));
+}
+
+bool CallerReply::part(std::string_view Data) {
+  if (Data.empty())
+    return true;
+  const auto Deadline = bootNow() + config::CallerWriteTimeout;
+  const auto Sent = this->Chunked
+                        ? this->Caller.write(chunkText(Data), Deadline)
+                        : this->Caller.write(Data, Deadline);
+  if (!Sent)
+    this->Close = true;
+  return Sent.has_value();
+}
+
+void CallerReply::finish() {
+  if (this->Chunked)
+    this->send("0\r\n\r\n");
+}
+
+void CallerReply::breakOff() {
+  this->Close = true;
+  this->Caller.abort();
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/node/caller_reply.h
@@ -0,0 +1,49 @@
+#ifndef SISKINSTAGE_NODE_CALLER_REPLY_H
+#define SISKINSTAGE_NODE_CALLER_REPLY_H
+
+#include "core/stored_answer.h"
+#include "net/http_io.h"
+#include "node/caller_request.h"
+#include "node/refusal.h"
+
+namespace siskinstage {
+
+/// Writes the one answer of a request to its caller.
+class CallerReply {
+public:
+  CallerReply(Wire &Caller, const CallerRequest &Request);
+  /// For a request that could not be read.
+  CallerReply(Wire &Caller, RequestId Id);
+
+  void refuse(const Refusal &Refused);
+  void whole(const StoredAnswer &Answer);
+  /// Starts a longer answer. \param Length its length, if the target told it.
+  void begin(const StoredAnswer &Head, std::optional<std::uint64_t> Length);
+  /// \returns false if the caller has gone.
+  bool part(std::string_view Data);
+  void finish();
+  /// Ends the connection, so that the caller sees that the answer is cut.
+  void breakOff();
+
+  /// The connection ends after this answer.
+  void closeAfter() { this->Close = true; }
+  [[nodiscard]] bool closes() const { return this->Close; }
+  [[nodiscard]] int status() const { return this->Status; }
+
+private:
+  Wire &Caller;
+  RequestId Id;
+  bool Http10 = false;
+  bool HeadOnly = false;
+  bool Keyed = false;
+  bool Close = false;
+  bool Chunked = false;
+  int Status = 0;
+
+  Poco::Net::HTTPResponse headOf(const StoredAnswer &Answer);
+  void send(std::string_view Bytes);
+};
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NODE_CALLER_REPLY_H
--- /dev/null
+++ b/src/node/caller_request.cpp
@@ -0,0 +1,156 @@
+#include "node/caller_request.h"
+#include "node/header_names.h"
+#include "siskinstage/config.h"
+
+#include <Poco/String.h>
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace siskinstage {
+
+namespace {
+
+constexpr std::size_t MaxAccountBytes = 200;
+
+/// The only value of the header, nothing if it is not there.
+HttpResult<std::optional<std::string>>
+singleValue(const Poco::Net::HTTPRequest &Head, const char *Name) {
+  const std::vector<std::string> Values = headerValues(Head, Name);
+  if (Values.empty())
+    return std::optional<std::string>();
+  if (Values.size() > 1)
+    return refuse(400, std::string("header ") + Name +
+                           " stands there more than once");
+  return std::optional<std::string>(Values.front());
+}
+
+HttpResult<std::optional<std::int64_t>>
+singleNumber(const Poco::Net::HTTPRequest &Head, const char *Name,
+             std::int64_t Least, std::int64_t Most) {
+  const auto Text = singleValue(Head, Name);
+  if (!Text)
+    return tl::unexpected<HttpRefusal>(Text.error());
+  if (!*Text)
+    return std::optional<std::int64_t>();
+  std::int64_t Number = 0;
+  const char *First = (*Text)->data();
+  const char *Last = First + (*Text)->size();
+  const auto [Next, Fault] = std::from_chars(First, Last, Number);
+  if (Fault != std::errc{} || Next != Last || Number < Least || Number > Most)
+    return refuse(400, std::string("header ") + Name + " is \"" + **Text +
+                           "\", allowed is a number from " +
+                           std::to_string(Least) + " to " +
+                           std::to_string(Most));
+  return std::optional<std::int64_t>(Number);
+}
+
+std::string hostWithoutPort(std::string Host) {
+  Host = Poco::toLower(Host);
+  return Host.substr(0, Host.rfind(':'));
+}
+
+/// Turns a target in absolute form into origin form; its authority goes before
+/// the Host header.
+void toOriginForm(CallerRequest &Request) {
+  const std::string &Target = Request.Head.getURI();
+  const std::string Scheme = "http://";
+  if (Poco::icompare(Target, 0, Scheme.size(), Scheme) != 0)
+    return;
+  const std::size_t Slash = Target.find('/', Scheme.size());
+  const std::size_t End = std::min(Slash, Target.size());
+  const std::string Host = Target.substr(Scheme.size(), End - Scheme.size());
+  const std::string Rest =
+      Slash == std::string::npos ? "/" : Target.substr(Slash);
+  Request.Head.set("Host", Host);
+  Request.Head.setURI(Rest);
+}
+
+HttpResult<void> readTarget(CallerRequest &Request) {
+  const std::vector<std::string> Hosts = headerValues(Request.Head, "Host");
+  if (Hosts.size() > 1 || (Hosts.empty() && !Request.Http10))
+    return refuse(400, "header Host must stand there once");
+  if (!Hosts.empty() &&
+      Hosts.front().find_first_of(" \t/@,") != std::string::npos)
+    return refuse(400, "header Host is no host name");
+  if (Request.Head.getMethod() == "CONNECT")
+    return refuse(501, "method CONNECT is not served");
+  toOriginForm(Request);
+  Request.Host = hostWithoutPort(Request.Head.get("Host", ""));
+  if (Request.Head.getMethod() == "OPTIONS" && Request.Head.getURI() == "*") {
+    Request.Path = "/";
+    return {};
+  }
+  const auto Path = checkedPath(Request.Head.getURI());
+  if (!Path)
+    return tl::unexpected<HttpRefusal>(Path.error());
+  Request.Path = *Path;
+  return {};
+}
+
+HttpResult<void> readExpect(CallerRequest &Request) {
+  const auto Expect = singleValue(Request.Head, "Expect");
+  if (!Expect)
+    return tl::unexpected<HttpRefusal>(Expect.error());
+  if (!*Expect)
+    return {};
+  if (Poco::icompare(**Expect, "100-continue") != 0)
+    return refuse(417, "header Expect is not \"100-continue\"");
+  Request.ExpectContinue = !Request.Http10;
+  Request.Head.erase("Expect");
+  return {};
+}
+
+HttpResult<void> readOwnHeaders(CallerRequest &Request) {
+  const auto TimeLeft = singleNumber(Request.Head, header::Deadline, 1,
+                                     config::MaxDeadline.count());
+  if (!TimeLeft)
+    return tl::unexpected<HttpRefusal>(TimeLeft.error());
+  if (*TimeLeft)
+    Request.TimeLeft = Millis(**TimeLeft);
+  const auto Hops =
+      singleNumber(Request.Head, header::Hops, 0, config::MaxForwardHops);
+  if (!Hops)
+    return tl::unexpected<HttpRefusal>(Hops.error());
+  Request.Hops = static_cast<int>(Hops->value_or(0));
+
+  const auto Mark = singleValue(Request.Head, header::Repeatable);
+  const auto Key = singleValue(Request.Head, header::IdempotencyKey);
+  const auto Account = singleValue(Request.Head, header::Account);
+  if (!Mark)
+    return tl::unexpected<HttpRefusal>(Mark.error());
+  if (!Key)
+    return tl::unexpected<HttpRefusal>(Key.error());
+  if (!Account)
+    return tl::unexpected<HttpRefusal>(Account.error());
+  if (*Account && ((*Account)->empty() || (*Account)->size() > MaxAccountBytes))
+    return refuse(400, "header Siskinstage-Account is empty or longer than 200 "
+                       "bytes");
+  Request.RepeatableMark = *Mark;
+  Request.Key = *Key;
+  Request.Account = AccountName(Account->value_or("anonymous"));
+  return {};
+}
+
+} // namespace
+
+HttpResult<CallerRequest> readCallerRequest(const Poco::Net::HTTPRequest &Head,
+                                            RequestId Id, Instant Arrived) {
+  CallerRequest Request;
+  Request.Http10 = Head.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0;
+  Request.Head = Head;
+  Request.Id = std::move(Id);
+  Request.Arrived = Arrived;
+  const auto Framing = requestFraming(framingFields(Request.Head));
+  if (!Framing)
+    return tl::unexpected<HttpRefusal>(Framing.error());
+  Request.Framing = *Framing;
+  for (const auto &Check : {readTarget, readExpect, readOwnHeaders}) {
+    const auto Checked = Check(Request);
+    if (!Checked)
+      return tl::unexpected<HttpRefusal>(Checked.error());
+  }
+  return Request;
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/node/caller_server.h
@@ -0,0 +1,31 @@
+#ifndef SISKINSTAGE_NODE_CALLER_SERVER_H
+#define SISKINSTAGE_NODE_CALLER_SERVER_H
+
+#include "siskinstage/error.h"
+
+#include <Poco/Net/TCPServer.h>
+#include <Poco/ThreadPool.h>
+#include <memory>
+
+namespace siskinstage {
+
+struct NodeContext;
+
+/// The callers' port: a thread of POCO's server pool for each connection.
+class CallerServer {
+public:
+  static Result<std::unique_ptr<CallerServer>> start(NodeContext &Context);
+
+  /// Takes no new connections; open ones go on.
+  void stopAccepting();
+
+private:
+  Poco::ThreadPool Pool;
+  std::unique_ptr<Poco::Net::TCPServer> Server;
+
+  explicit CallerServer(int MaxConnections);
+};
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NODE_CALLER_SERVER_H
--- /dev/null
+++ b/src/node/decision_loop.cpp
@@ -0,0 +1,253 @@
+#include "node/decision_loop.h"
+#include "net/boot_time.h"
+#include "node/node_context.h"
+#include "node/service_gate.h"
+#include "node/target_gauge.h"
+#include "siskinstage/config.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace siskinstage {
+
+namespace {
+
+/// A usual latency that moved by less than this share is not published anew.
+constexpr double LatencyChange = 0.2;
+
+bool movedMuch(Duration Old, Duration New) {
+  const auto Before = static_cast<double>(Old.count());
+  const auto After = static_cast<double>(New.count());
+  return std::abs(After - Before) > LatencyChange * std::max(Before, 1.0);
+}
+
+bool isSettled(const TargetVerdict &Verdict) {
+  return Verdict.State == TargetHealth::State::Healthy;
+}
+
+} // namespace
+
+DecisionLoop::DecisionLoop(NodeContext &Context)
+    : Context(Context), Next(*Context.Snapshots.get()) {}
+
+void DecisionLoop::run() {
+  while (!this->Context.Stop.sleep(config::DecisionPeriod)) {
+    this->takeUpdates();
+    this->takeObservations();
+    this->decideAll(bootNow());
+    if (this->Changed)
+      this->publish();
+  }
+}
+
+void DecisionLoop::takeObservations() {
+  while (const auto Seen = this->Context.Observations.pop()) {
+    const auto Found = this->Services.find(Seen->Service);
+    if (Found == this->Services.end())
+      continue;
+    Found->second.Health.observe(*Seen);
+    Found->second.Unsettled = true;
+  }
+}
+
+void DecisionLoop::takeUpdates() {
+  while (auto Update = this->Context.Updates.pop())
+    std::visit([this](auto &Each) { this->apply(Each); }, *Update);
+}
+
+void DecisionLoop::apply(RecordBatch &Batch) {
+  bool Routes = false;
+  bool AccountsChanged = false;
+  for (const Record &New : Batch.Records) {
+    if (this->Records.adopt(New) != RecordStore::Adoption::Adopted)
+      continue;
+    this->Changed = true;
+    Routes = Routes || New.Key.Kind == RecordKind::Route;
+    AccountsChanged = AccountsChanged || New.Key.Kind == RecordKind::Account;
+    this->adopt(New);
+    logEvent(LogLevel::Info, "record " + New.Key.text() + " is in force",
+             {{"revision", std::to_string(New.Rev.Value)}});
+  }
+  if (Routes)
+    this->rebuildRoutes();
+  if (AccountsChanged)
+    this->rebuildAccounts();
+  if (Batch.Complete && !this->Next.Configured) {
+    this->Next.Configured = true;
+    this->Changed = true;
+    logEvent(LogLevel::Info, "the first configuration is complete");
+  }
+}
+
+void DecisionLoop::adopt(const Record &New) {
+  if (const auto *Fleet = std::get_if<FleetRecord>(&New.Body)) {
+    this->Next.Fleet = *Fleet;
+    for (auto &[Name, Service] : this->Services)
+      Service.Gate->configure(this->record(Name)->Policy, Fleet->RetryBudget);
+    return;
+  }
+  if (New.Key.Kind != RecordKind::Service)
+    return;
+  const ServiceName Name(New.Key.Name);
+  const auto *Service = std::get_if<ServiceRecord>(&New.Body);
+  if (Service == nullptr) {
+    this->Services.erase(Name);
+    auto Views =
+        std::make_shared<siskinstage::Services>(*this->Next.ServiceViews);
+    Views->erase(Name);
+    this->Next.ServiceViews = Views;
+    return;
+  }
+  Held &Is = this->Services[Name];
+  if (!Is.Gate)
+    Is.Gate =
+        std::make_shared<ServiceGate>(Name, this->Context.Keys.process().Value);
+  Is.Gate->configure(Service->Policy, this->Next.Fleet.RetryBudget);
+  Is.Health.configure(*Service);
+  Is.Health.setListedLeaving(this->ListedLeaving);
+  Is.Verdicts.clear();
+  Is.Unsettled = true;
+}
+
+void DecisionLoop::apply(InstanceBatch &Batch) {
+  std::set<Address> Leaving;
+  std::vector<SteeringNode> Live;
+  for (const Instance &Each : Batch.Instances) {
+    if (Each.Is == Instance::Role::Target &&
+        Each.Now == Instance::State::Leaving)
+      Leaving.insert(Each.Where);
+    if (Each.Is == Instance::Role::Node && Each.Now == Instance::State::Live)
+      Live.push_back({NodeId(Each.Id), Each.Where, Each.Domain});
+  }
+  if (Leaving != this->ListedLeaving) {
+    this->ListedLeaving = std::move(Leaving);
+    for (auto &[Name, Service] : this->Services) {
+      Service.Health.setListedLeaving(this->ListedLeaving);
+      Service.Unsettled = true;
+    }
+  }
+  const bool Same = std::equal(
+      Live.begin(), Live.end(), this->Nodes.begin(), this->Nodes.end(),
+      [](const SteeringNode &Left, const SteeringNode &Right) {
+        return Left.Id == Right.Id && Left.Where == Right.Where;
+      });
+  if (Same)
+    return;
+  this->Nodes = Live;
+  this->Next.Nodes = std::move(Live);
+  this->Changed = true;
+}
+
+void DecisionLoop::rebuildRoutes() {
+  auto Table = std::make_shared<RouteTable>();
+  for (const auto &[Key, Each] : this->Records.all())
+    if (const auto *Route = std::get_if<RouteRecord>(&Each.Body))
+      Table->add(*Route);
+  this->Next.Routes = Table;
+}
+
+void DecisionLoop::rebuildAccounts() {
+  auto Known = std::make_shared<Accounts>();
+  for (const auto &[Key, Each] : this->Records.all())
+    if (const auto *Account = std::get_if<AccountRecord>(&Each.Body))
+      Known->emplace(Account->Name, *Account);
+  this->Next.AccountRecords = Known;
+}
+
+const ServiceRecord *DecisionLoop::record(const ServiceName &Name) const {
+  const Record *Found = this->Records.find({RecordKind::Service, Name.str()});
+  return Found == nullptr ? nullptr : std::get_if<ServiceRecord>(&Found->Body);
+}
+
+void DecisionLoop::decideAll(Instant Now) {
+  for (auto &[Name, Service] : this->Services)
+    if (Service.Unsettled)
+      this->decide(Name, Service, Now);
+}
+
+void DecisionLoop::noteSaidLeaving(const ServiceRecord &Record, Held &Service,
+                                   Instant Now) {
+  for (std::size_t I = 0; I < Record.Targets.size(); ++I) {
+    const TargetSpec &Spec = Record.Targets[I];
+    const bool Known =
+        I < Service.Verdicts.size() && Service.Verdicts[I].Leaving;
+    // The handlers' mark is taken back only after the verdict is published.
+    std::atomic<bool> &Said = this->gaugeOf(Spec.Where)->SaidLeaving;
+    if (Known)
+      Said.store(false);
+    else if (Said.load())
+      Service.Health.observe(
+          {Record.Name, Spec.Id, Evidence::Leaving, {}, Now, false});
+  }
+}
+
+void DecisionLoop::decide(const ServiceName &Name, Held &Service, Instant Now) {
+  const ServiceRecord *Record = this->record(Name);
+  this->noteSaidLeaving(*Record, Service, Now);
+  std::vector<TargetVerdict> Verdicts = Service.Health.decide(Now);
+  const Duration Typical = Service.Health.typicalLatency();
+  Service.Unsettled = !std::all_of(Verdicts.begin(), Verdicts.end(), isSettled);
+  if (Verdicts == Service.Verdicts && !movedMuch(Service.Typical, Typical))
+    return;
+  this->logChanges(Name, Service.Verdicts, Verdicts);
+  Service.Verdicts = std::move(Verdicts);
+  Service.Typical = Typical;
+  this->rebuildService(Name, Service);
+  this->Changed = true;
+}
+
+void DecisionLoop::logChanges(const ServiceName &Name,
+                              const std::vector<TargetVerdict> &Old,
+                              const std::vector<TargetVerdict> &New) {
+  for (std::size_t I = 0; I < New.size() && I < Old.size(); ++I) {
+    const TargetVerdict &Now = New[I];
+    const bool StateSame = Now.State == Old[I].State;
+    if (StateSame && Now.Leaving == Old[I].Leaving &&
+        Now.Admitted == Old[I].Admitted)
+      continue;
+    if (!StateSame && Now.State == TargetHealth::State::Ejected)
+      this->Context.Measured.ejected(Name.str());
+    logEvent(LogLevel::Info,
+             "target " + Now.Id.str() + " of service " + Name.str() + " is " +
+                 (Now.Leaving ? "leaving" : targetStateName(Now.State)),
+             {{"admitted", Now.Admitted ? "yes" : "no"},
+              {"kept_by_floor", Now.KeptByFloor ? "yes" : "no"},
+              {"reason", Now.Reason}});
+  }
+}
+
+std::shared_ptr<TargetGauge> DecisionLoop::gaugeOf(const Address &Where) {
+  std::shared_ptr<TargetGauge> &Gauge = this->Gauges[Where];
+  if (!Gauge)
+    Gauge = std::make_shared<TargetGauge>();
+  return Gauge;
+}
+
+void DecisionLoop::rebuildService(const ServiceName &Name,
+                                  const Held &Service) {
+  auto View = std::make_shared<ServiceView>();
+  View->Record = *this->record(Name);
+  View->Gate = Service.Gate;
+  View->Typical = Service.Typical;
+  for (std::size_t I = 0; I < Service.Verdicts.size(); ++I) {
+    const TargetSpec &Spec = View->Record.Targets[I];
+    View->Targets.push_back(
+        {Spec, Service.Verdicts[I], this->gaugeOf(Spec.Where)});
+  }
+  auto Views =
+      std::make_shared<siskinstage::Services>(*this->Next.ServiceViews);
+  (*Views)[Name] = std::move(View);
+  this->Next.ServiceViews = Views;
+}
+
+void DecisionLoop::publish() {
+  ++this->Next.Version;
+  this->Next.Highest = this->Records.highest();
+  this->Next.Records = this->Records.all().size();
+  this->Context.Snapshots.set(std::make_shared<Snapshot>(this->Next));
+  this->Context.Measured.setRevision(
+      static_cast<double>(this->Next.Highest.Value));
+  this->Changed = false;
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/node/decision_loop.h
@@ -0,0 +1,66 @@
+#ifndef SISKINSTAGE_NODE_DECISION_LOOP_H
+#define SISKINSTAGE_NODE_DECISION_LOOP_H
+
+#include "core/record_store.h"
+#include "core/service_health.h"
+#include "node/config_update.h"
+#include "node/snapshot.h"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace siskinstage {
+
+struct NodeContext;
+
+/// The decision thread's work: the only writer of records in force and health,
+/// and the maker of snapshots.
+class DecisionLoop {
+public:
+  explicit DecisionLoop(NodeContext &Context);
+
+  /// Runs until the node stops.
+  void run();
+
+private:
+  /// Health and shared objects of one service.
+  struct Held {
+    ServiceHealth Health;
+    std::vector<TargetVerdict> Verdicts;
+    std::shared_ptr<ServiceGate> Gate;
+    Duration Typical{};
+    bool Unsettled = true; ///< Must be decided again as time passes.
+  };
+
+  NodeContext &Context;
+  RecordStore Records;
+  std::unordered_map<ServiceName, Held> Services;
+  std::unordered_map<Address, std::shared_ptr<TargetGauge>> Gauges;
+  std::set<Address> ListedLeaving;
+  std::vector<SteeringNode> Nodes;
+  Snapshot Next;
+  bool Changed = false;
+
+  void takeObservations();
+  void takeUpdates();
+  void apply(RecordBatch &Batch);
+  void apply(InstanceBatch &Batch);
+  void adopt(const Record &New);
+  void rebuildRoutes();
+  void rebuildAccounts();
+  void decideAll(Instant Now);
+  void decide(const ServiceName &Name, Held &Service, Instant Now);
+  void noteSaidLeaving(const ServiceRecord &Record, Held &Service, Instant Now);
+  void logChanges(const ServiceName &Name,
+                  const std::vector<TargetVerdict> &Old,
+                  const std::vector<TargetVerdict> &New);
+  void rebuildService(const ServiceName &Name, const Held &Service);
+  std::shared_ptr<TargetGauge> gaugeOf(const Address &Where);
+  [[nodiscard]] const ServiceRecord *record(const ServiceName &Name) const;
+  void publish();
+};
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NODE_DECISION_LOOP_H
--- /dev/null
+++ b/src/node/dispatcher.cpp
@@ -0,0 +1,272 @@
+#include "node/dispatcher.h"
+#include "net/boot_time.h"
+#include "node/header_names.h"
+#include "node/node_context.h"
+#include "node/service_gate.h"
+#include "node/target_gauge.h"
+#include "siskinstage/config.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace siskinstage {
+
+namespace {
+
+/// Waits for a random part of a time that doubles with each try.
+void backOff(int Attempts, Instant Deadline) {
+  constexpr int MaxDoublings = 6;
+  thread_local Random Dice(
+      static_cast<std::uint64_t>(bootNow().time_since_epoch().count()));
+  const Duration Longest = std::min<Duration>(
+      config::RetryBackoffBase * (1 << std::min(Attempts, MaxDoublings)),
+      config::RetryBackoffCap);
+  const auto Wait = std::chrono::duration_cast<Duration>(Longest * Dice.unit());
+  std::this_thread::sleep_for(std::min(Wait, timeLeft(Deadline)));
+}
+
+Error refusedBy(ServiceGate::Refusal Why, const std::string &Service) {
+  switch (Why) {
+  case ServiceGate::Refusal::NoTarget:
+    return {Step::Queue, Service, "no target is left to try"};
+  case ServiceGate::Refusal::QueueFull:
+    return {Step::Queue, Service, "too many requests wait for a slot"};
+  case ServiceGate::Refusal::TooLate:
+    return {Step::Queue, Service, "no slot comes free before the deadline"};
+  case ServiceGate::Refusal::NoService:
+    return {Step::Route, Service, "the service is not configured"};
+  }
+  return {Step::Queue, Service, "refused"};
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(NodeContext &Context, DispatchOrder Order)
+    : Context(Context), Order(std::move(Order)) {}
+
+void Dispatcher::prepareHead() {
+  this->Outgoing = this->Order.Request->Head;
+  dropHopHeaders(this->Outgoing);
+  this->Outgoing.erase("Content-Length");
+  this->Outgoing.erase(header::Hops);
+  this->Outgoing.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+  this->Outgoing.add("Via", "1.1 siskinstage");
+  this->Outgoing.set(header::RequestId, this->Order.Request->Id.str());
+}
+
+DispatchEnd Dispatcher::refuse(int Status, Step Where, std::string Peer,
+                               std::string Reason) {
+  const Outcome What = this->MayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+  return Refusal{
+      Status, What, {Where, std::move(Peer), std::move(Reason)}, std::nullopt};
+}
+
+tl::expected<TargetLease, DispatchEnd> Dispatcher::enter() {
+  auto Lease = this->Order.Service->Gate->enter(
+      this->Context.Snapshots, this->Context.Set.Domain, this->Tried,
+      this->Order.Deadline);
+  if (Lease)
+    return std::move(*Lease);
+  if (this->Spare)
+    return tl::unexpected<DispatchEnd>(std::move(*this->Spare));
+  const Error Cause =
+      refusedBy(Lease.error(), this->Order.Service->Record.Name.str());
+  return tl::unexpected<DispatchEnd>(
+      this->refuse(503, Cause.Where, Cause.Peer, Cause.Reason));
+}
+
+Duration Dispatcher::silentLimit() const {
+  // The work of a request that must not run twice can't be tried elsewhere.
+  if (this->Order.Kind == Repeatability::AtMostOnce)
+    return Duration::zero();
+  const auto Usual = std::chrono::duration_cast<Duration>(
+      this->Order.Service->Typical * config::SilentLatencyFactor);
+  return std::max<Duration>(config::SilentMinimum, Usual);
+}
+
+ExchangeResult<PooledConnection> Dispatcher::connect(const TargetView &Target) {
+  const bool Repeatable = this->Order.Kind == Repeatability::Repeatable;
+  const Duration MaxSilence = Repeatable ? Duration(config::TargetIdleLimit)
+                                         : config::ProvedAliveWindow;
+  auto Taken = Target.Gauge->Pool.take(Target.Spec.Where, MaxSilence,
+                                       this->Order.Deadline);
+  if (Taken)
+    return std::move(*Taken);
+  return tl::unexpected<ExchangeFailure>(ExchangeFailure{
+      {AttemptFailure::Kind::ConnectFailed, false, Taken.error().Reason},
+      false,
+      false,
+      false,
+      {}});
+}
+
+ExchangeResult<std::unique_ptr<TargetExchange>>
+Dispatcher::attempt(TargetLease &Lease) {
+  const TargetView &Target = Lease.target();
+  auto Taken = this->connect(Target);
+  if (!Taken)
+    return tl::unexpected<ExchangeFailure>(Taken.error());
+  this->Outgoing.setHost(
+      this->Order.Request->Head.get("Host", Target.Spec.Where.str()));
+  ExchangeOrder Exchange = {this->Outgoing,
+                            this->Order.Body,
+                            this->Order.Request->Id,
+                            this->Order.Deadline,
+                            this->Order.Service->Record.RequireEcho,
+                            this->Order.Caller,
+                            this->silentLimit()};
+  auto Running =
+      std::make_unique<TargetExchange>(std::move(*Taken), std::move(Exchange));
+  const auto Ran = Running->run();
+  if (!Ran)
+    return tl::unexpected<ExchangeFailure>(Ran.error());
+  const auto Held = Running->holdBody(config::ReplayBufferBytes);
+  if (!Held && !Running->saidNotRun())
+    return tl::unexpected<ExchangeFailure>(Held.error());
+  return Running;
+}
+
+void Dispatcher::observe(const TargetView &Target, Evidence What,
+                         Duration Took) {
+  this->Context.observe({this->Order.Service->Record.Name, Target.Spec.Id, What,
+                         Took, bootNow(), false});
+}
+
+void Dispatcher::noteAnswer(const TargetView &Target, TargetExchange &Exchange,
+                            Duration Took) {
+  if (Exchange.reportedInFlight())
+    Target.Gauge->Reported.store(*Exchange.reportedInFlight());
+  if (Exchange.saidLeaving()) {
+    Target.Gauge->SaidLeaving.store(true);
+    this->observe(Target, Evidence::Leaving, Took);
+  }
+  if (Exchange.saidNotRun())
+    this->observe(Target, Evidence::Shed, Took);
+  else if (Exchange.answer().Status >= 500)
+    this->observe(Target, Evidence::Failure, Took);
+  else
+    this->observe(Target, Evidence::Success, Took);
+}
+
+void Dispatcher::noteFailure(const TargetView &Target,
+                             const ExchangeFailure &Failed, Duration Took) {
+  this->Context.Measured.attemptFailed(Failed.Attempt.What);
+  if (Failed.CallerGone ||
+      Failed.Attempt.What == AttemptFailure::Kind::DeadlinePast)
+    return;
+  if (Failed.StaleReuse) {
+    // The connection is at fault; the others may be as silent. The target may
+    // be tried again on a new one.
+    Target.Gauge->Pool.clear();
+    this->Tried.erase(Target.Spec.Id);
+    return;
+  }
+  Evidence What = Evidence::Failure;
+  if (Failed.Attempt.What == AttemptFailure::Kind::ConnectFailed)
+    What = Evidence::ConnectFailed;
+  else if (Failed.TimedOut)
+    What = Evidence::Timeout;
+  this->observe(Target, What, Took);
+}
+
+bool Dispatcher::retry(const AttemptFailure &Failed) {
+  RetryCircumstances Now;
+  Now.Attempts = this->Attempts;
+  Now.MaxAttempts = config::MaxAttempts;
+  Now.BodyReplayable =
+      this->Order.Body->replayable() ||
+      (provedBy(Failed) == Outcome::NotRun && !Failed.BytesSent);
+  Now.DeadlineLeft = timeLeft(this->Order.Deadline) > Duration::zero();
+  Now.TargetLeft = this->Tried.size() < this->Order.Service->Targets.size();
+  if (!mayRetry(Failed, this->Order.Kind, Now))
+    return false;
+  if (!this->Order.Service->Gate->takeRetry())
+    return false;
+  this->Context.Measured.retried();
+  return true;
+}
+
+bool Dispatcher::worthRetrying(TargetExchange &Exchange) const {
+  const int Status = Exchange.answer().Status;
+  const bool Sick =
+      Status == 500 || Status == 502 || Status == 503 || Status == 504;
+  return Sick && this->Order.Kind == Repeatability::Repeatable &&
+         Exchange.whole();
+}
+
+DispatchEnd Dispatcher::giveUp(const TargetView &Target,
+                               const ExchangeFailure &Failed) {
+  if (this->Spare)
+    return std::move(*this->Spare);
+  if (Failed.BodyFault)
+    return this->refuse(Failed.BodyFault->Status, Step::ReadRequest, "caller",
+                        Failed.BodyFault->Reason);
+  const bool Refused = Failed.Attempt.What == AttemptFailure::Kind::Refused;
+  const bool NoConnection =
+      Failed.Attempt.What == AttemptFailure::Kind::ConnectFailed;
+  Step Where = Step::ReadAnswer;
+  if (NoConnection)
+    Where = Step::Connect;
+  else if (Failed.Attempt.What == AttemptFailure::Kind::SendFailed ||
+           Failed.Attempt.What == AttemptFailure::Kind::DeadlinePast)
+    Where = Step::SendRequest;
+  int Status = Refused || NoConnection ? 503 : 502;
+  if (Failed.TimedOut)
+    Status = 504;
+  return this->refuse(Status, Where, Target.Spec.Where.str(),
+                      Failed.Attempt.Reason);
+}
+
+DispatchEnd Dispatcher::run() {
+  this->prepareHead();
+  this->Order.Service->Gate->firstTry();
+  KeyOwner &Keys = this->Context.Keys;
+  const std::string &Key = this->Order.OwnedKey;
+  while (true) {
+    auto Entered = this->enter();
+    if (!Entered)
+      return std::move(Entered.error());
+    TargetLease Lease = std::move(*Entered);
+    if (this->Order.Caller != nullptr && this->Order.Caller->peerGone())
+      return CallerGone{};
+    if (!Key.empty() && !Keys.beginDispatch(Key))
+      return this->refuse(503, Step::Key, Key, "the key is not free");
+
+    ++this->Attempts;
+    const TargetView Target = Lease.target();
+    this->Tried.insert(Target.Spec.Id);
+    const Instant Started = bootNow();
+    auto Ran = this->attempt(Lease);
+    const Duration Took = bootNow() - Started;
+    ExchangeFailure Failed;
+    if (Ran) {
+      this->noteAnswer(Target, **Ran, Took);
+      const bool NotRun = (*Ran)->saidNotRun();
+      if (!NotRun && !this->worthRetrying(**Ran))
+        return DispatchedAnswer{std::move(*Ran), std::move(Lease)};
+      Failed.Attempt = {NotRun ? AttemptFailure::Kind::Refused
+                               : AttemptFailure::Kind::BadAnswer,
+                        true,
+                        "status " + std::to_string((*Ran)->answer().Status)};
+      (*Ran)->finish(Target.Gauge->Pool);
+      if (!NotRun)
+        this->Spare = DispatchedAnswer{std::move(*Ran), TargetLease()};
+    } else {
+      Failed = std::move(Ran.error());
+      this->noteFailure(Target, Failed, Took);
+    }
+    Lease.release();
+
+    if (provedBy(Failed.Attempt) == Outcome::Unknown)
+      this->MayHaveRun = true;
+    else if (!Key.empty())
+      Keys.retractDispatch(Key);
+    if (Failed.CallerGone && !Failed.BodyFault)
+      return CallerGone{};
+    if (!this->retry(Failed.Attempt))
+      return this->giveUp(Target, Failed);
+    backOff(this->Attempts, this->Order.Deadline);
+  }
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/node/dispatcher.h
@@ -0,0 +1,83 @@
+#ifndef SISKINSTAGE_NODE_DISPATCHER_H
+#define SISKINSTAGE_NODE_DISPATCHER_H
+
+#include "core/repeatability.h"
+#include "node/caller_request.h"
+#include "node/refusal.h"
+#include "node/request_body.h"
+#include "node/snapshot.h"
+#include "node/target_exchange.h"
+#include "node/target_lease.h"
+
+#include <memory>
+#include <set>
+#include <variant>
+
+namespace siskinstage {
+
+struct NodeContext;
+
+/// A request on its way to the targets of one service.
+struct DispatchOrder {
+  const CallerRequest *Request = nullptr;
+  RequestBody *Body = nullptr;
+  std::shared_ptr<const ServiceView> Service;
+  Repeatability Kind = Repeatability::AtMostOnce;
+  Instant Deadline;
+  /// Watched, so that work whose caller has gone is cancelled; null for keyed
+  /// requests, whose caller may come back for the answer.
+  const Wire *Caller = nullptr;
+  /// The key under which this node dispatches, empty for none.
+  std::string OwnedKey;
+};
+
+/// The answer of a target. Its body is whole in Exchange, or goes on there.
+struct DispatchedAnswer {
+  std::unique_ptr<TargetExchange> Exchange;
+  TargetLease Lease;
+};
+
+/// The caller has gone and nobody waits for an answer.
+struct CallerGone {};
+
+using DispatchEnd = std::variant<DispatchedAnswer, Refusal, CallerGone>;
+
+/// Sends one request to a target, and to another one as far as retries are
+/// allowed.
+class Dispatcher {
+public:
+  Dispatcher(NodeContext &Context, DispatchOrder Order);
+
+  DispatchEnd run();
+
+private:
+  NodeContext &Context;
+  DispatchOrder Order;
+  Poco::Net::HTTPRequest Outgoing;
+  std::set<TargetId> Tried;
+  int Attempts = 0;
+  bool MayHaveRun = false;
+  /// An answer of 500 or above, given if no retry brings a better one.
+  std::optional<DispatchedAnswer> Spare;
+
+  void prepareHead();
+  tl::expected<TargetLease, DispatchEnd> enter();
+  ExchangeResult<std::unique_ptr<TargetExchange>> attempt(TargetLease &Lease);
+  ExchangeResult<PooledConnection> connect(const TargetView &Target);
+  [[nodiscard]] Duration silentLimit() const;
+  /// Notes evidence of a finished try.
+  void noteAnswer(const TargetView &Target, TargetExchange &Exchange,
+                  Duration Took);
+  void noteFailure(const TargetView &Target, const ExchangeFailure &Failed,
+                   Duration Took);
+  void observe(const TargetView &Target, Evidence What, Duration Took);
+  bool retry(const AttemptFailure &Failed);
+  [[nodiscard]] bool worthRetrying(TargetExchange &Exchange) const;
+  DispatchEnd giveUp(const TargetView &Target, const ExchangeFailure &Failed);
+  DispatchEnd refuse(int Status, Step Where, std::string Peer,
+                     std::string Reason);
+};
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NODE_DISPATCHER_H
--- /dev/null
+++ b/src/node/header_names.h
@@ -0,0 +1,19 @@
+#ifndef SISKINSTAGE_NODE_HEADER_NAMES_H
+#define SISKINSTAGE_NODE_HEADER_NAMES_H
+
+/// Headers of the callers' and targets' interfaces.
+namespace siskinstage::header {
+
+inline constexpr const char *Deadline = "Siskinstage-Deadline-Ms";
+inline constexpr const char *Repeatable = "Siskinstage-Repeatable";
+inline constexpr const char *Account = "Siskinstage-Account";
+inline constexpr const char *Outcome = "Siskinstage-Outcome";
+inline constexpr const char *RequestId = "Siskinstage-Request-Id";
+inline constexpr const char *Hops = "Siskinstage-Hops";
+inline constexpr const char *Leaving = "Siskinstage-Leaving";
+inline constexpr const char *InFlight = "Siskinstage-In-Flight";
+inline constexpr const char *IdempotencyKey = "Idempotency-Key";
+
+} // namespace siskinstage::header
+
+#endif // SISKINSTAGE_NODE_HEADER_NAMES_H
--- /dev/null
+++ b/src/node/key_owner.cpp
@@ -0,0 +1,102 @@
+#include "node/key_owner.h"
+#include "net/boot_time.h"
+#include "siskinstage/config.h"
+
+#include <algorithm>
+
+namespace siskinstage {
+
+namespace {
+
+KeyTable::Limits tableLimits() {
+  return {config::KeyTableCapacity, config::KeyTableBytes,
+          config::KeyAnswerBytesKept, config::KeyEpochLength,
+          config::KeyEpochsKept};
+}
+
+bool hasEnded(const std::optional<KeyTable::View> &View) {
+  return !View || (View->Now != KeyTable::State::Claimed &&
+                   View->Now != KeyTable::State::InFlight);
+}
+
+/// The longest wait between two looks at a key.
+constexpr std::chrono::milliseconds LookPeriod{50};
+
+} // namespace
+
+KeyOwner::KeyOwner(const AddressParts &Own, Incarnation Process)
+    : Own(Own), Process(Process), Table(tableLimits(), bootNow()) {}
+
+std::optional<std::string> KeyOwner::prefixForNewKeys(const KeyRing &Ring) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  const auto Epoch = this->Table.epochForNewKeys(bootNow());
+  if (!Epoch)
+    return std::nullopt;
+  return formatKeyPrefix({this->Own, this->Process, *Epoch}, Ring);
+}
+
+bool KeyOwner::owns(const KeyPrefix &Prefix) const {
+  return this->atThisAddress(Prefix) && Prefix.Process == this->Process;
+}
+
+bool KeyOwner::atThisAddress(const KeyPrefix &Prefix) const {
+  return Prefix.Owner == this->Own;
+}
+
+KeyTable::Claim KeyOwner::claim(const RequestKey &Key, Fingerprint Asked) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  return this->Table.claim(Key.Prefix.Epoch, Key.Text, Asked, bootNow());
+}
+
+std::optional<KeyTable::View> KeyOwner::awaitEnd(const std::string &Key,
+                                                 Instant Deadline) {
+  std::unique_lock<std::mutex> Guard(this->Lock);
+  while (true) {
+    auto View = this->Table.look(Key);
+    const Duration Left = timeLeft(Deadline);
+    if (hasEnded(View) || Left == Duration::zero())
+      return View;
+    this->Ended.wait_for(Guard, std::min<Duration>(Left, LookPeriod));
+  }
+}
+
+void KeyOwner::setBodyHash(const std::string &Key, std::uint64_t Hash) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  this->Table.setBodyHash(Key, Hash);
+}
+
+bool KeyOwner::beginDispatch(const std::string &Key) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  return this->Table.beginDispatch(Key);
+}
+
+void KeyOwner::retractDispatch(const std::string &Key) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  this->Table.retractDispatch(Key);
+}
+
+void KeyOwner::endAnswered(const std::string &Key,
+                           std::shared_ptr<const StoredAnswer> Answer) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  this->Table.endAnswered(Key, std::move(Answer));
+  this->Ended.notify_all();
+}
+
+void KeyOwner::endUncertain(const std::string &Key) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  this->Table.endUncertain(Key);
+  this->Ended.notify_all();
+}
+
+void KeyOwner::endNotRun(const std::string &Key) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  this->Table.endNotRun(Key);
+  this->Ended.notify_all();
+}
+
+KeyTable::Stats KeyOwner::stats() {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  return this->Table.stats();
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/node/metrics.cpp
@@ -0,0 +1,124 @@
+#include "node/metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace siskinstage {
+
+namespace {
+
+using prometheus::BuildCounter;
+using prometheus::BuildGauge;
+using prometheus::Registry;
+
+prometheus::Family<prometheus::Counter> &
+counters(Registry &In, const std::string &Name, const std::string &Help) {
+  return BuildCounter().Name(Name).Help(Help).Register(In);
+}
+
+prometheus::Gauge &gauge(Registry &In, const std::string &Name,
+                         const std::string &Help) {
+  return BuildGauge().Name(Name).Help(Help).Register(In).Add({});
+}
+
+const prometheus::Histogram::BucketBoundaries LatencySeconds = {
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10};
+
+} // namespace
+
+Metrics::Metrics()
+    : Registry(std::make_shared<prometheus::Registry>()),
+      Answers(counters(*this->Registry, "siskinstage_answers_total",
+                       "Answers of targets given to callers, by status.")),
+      Refusals(counters(*this->Registry, "siskinstage_refusals_total",
+                        "Answers made by the node, by step and outcome.")),
+      AttemptFailures(counters(*this->Registry,
+                               "siskinstage_attempt_failures_total",
+                               "Tries at targets that failed, by kind.")),
+      Retries(counters(*this->Registry, "siskinstage_retries_total",
+                       "Second and further tries.")
+                  .Add({})),
+      Forwards(counters(*this->Registry, "siskinstage_forwards_total",
+                        "Requests forwarded to a key's owner, by result.")),
+      Resends(counters(*this->Registry, "siskinstage_resends_total",
+                       "Requests whose key was known already, by result.")),
+      RecordsRefused(counters(*this->Registry,
+                              "siskinstage_records_refused_total",
+                              "Records refused for a fault in them.")
+                         .Add({})),
+      PlatformCalls(counters(*this->Registry,
+                             "siskinstage_platform_calls_total",
+                             "Calls to the platform, by result.")),
+      Ejections(counters(*this->Registry, "siskinstage_ejections_total",
+                         "Targets taken out, by service.")),
+      Latency(prometheus::BuildHistogram()
+                  .Name("siskinstage_request_seconds")
+                  .Help("Time from a request's head to the end of its answer.")
+                  .Register(*this->Registry)
+                  .Add({}, LatencySeconds)),
+      Callers(gauge(*this->Registry, "siskinstage_caller_connections",
+                    "Open connections of callers.")),
+      Ready(gauge(*this->Registry, "siskinstage_ready",
+                  "1 if the node answers callers.")),
+      ObservationsLost(gauge(*this->Registry, "siskinstage_observations_lost",
+                             "Observations dropped at a full ring.")),
+      HighestRevision(gauge(*this->Registry, "siskinstage_config_revision",
+                            "Highest revision in force.")),
+      Keys(gauge(*this->Registry, "siskinstage_keys",
+                 "Idempotency keys in the owner table.")) {}
+
+void Metrics::answered(int Status) {
+  this->Answers.Add({{"status", std::to_string(Status)}}).Increment();
+}
+
+void Metrics::refused(Step Where, Outcome What) {
+  this->Refusals
+      .Add({{"step", stepName(Where)}, {"outcome", outcomeName(What)}})
+      .Increment();
+}
+
+void Metrics::attemptFailed(AttemptFailure::Kind What) {
+  this->AttemptFailures.Add({{"kind", attemptFailureName(What)}}).Increment();
+}
+
+void Metrics::retried() { this->Retries.Increment(); }
+
+void Metrics::forwarded(const char *Result) {
+  this->Forwards.Add({{"result", Result}}).Increment();
+}
+
+void Metrics::resent(const char *Result) {
+  this->Resends.Add({{"result", Result}}).Increment();
+}
+
+void Metrics::recordRefused() { this->RecordsRefused.Increment(); }
+
+void Metrics::platformCall(const char *Result) {
+  this->PlatformCalls.Add({{"result", Result}}).Increment();
+}
+
+void Metrics::ejected(const std::string &Service) {
+  this->Ejections.Add({{"service", Service}}).Increment();
+}
+
+void Metrics::latency(Duration Whole) {
+  this->Latency.Observe(std::chrono::duration<double>(Whole).count());
+}
+
+void Metrics::setCallers(double Count) { this->Callers.Set(Count); }
+void Metrics::setReady(bool IsReady) { this->Ready.Set(IsReady ? 1 : 0); }
+
+void Metrics::setObservationsLost(double Count) {
+  this->ObservationsLost.Set(Count);
+}
+
+void Metrics::setRevision(double Highest) {
+  this->HighestRevision.Set(Highest);
+}
+
+void Metrics::setKeys(double Entries) { this->Keys.Set(Entries); }
+
+std::string Metrics::text() const {
+  return prometheus::TextSerializer().Serialize(this->Registry->Collect());
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/node/metrics.h
@@ -0,0 +1,64 @@
+#ifndef SISKINSTAGE_NODE_METRICS_H
+#define SISKINSTAGE_NODE_METRICS_H
+
+#include "core/attempt.h"
+#include "siskinstage/error.h"
+#include "siskinstage/outcome.h"
+#include "siskinstage/units.h"
+
+#include <memory>
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <string>
+
+namespace siskinstage {
+
+/// The node's metrics, by the names that operators see.
+class Metrics {
+public:
+  Metrics();
+
+  void answered(int Status);
+  void refused(Step Where, Outcome What);
+  void attemptFailed(AttemptFailure::Kind What);
+  void retried();
+  void forwarded(const char *Result);
+  void resent(const char *Result);
+  void recordRefused();
+  void platformCall(const char *Result);
+  void ejected(const std::string &Service);
+  void latency(Duration Whole);
+  void setCallers(double Count);
+  void setReady(bool Ready);
+  void setObservationsLost(double Count);
+  void setRevision(double Highest);
+  void setKeys(double Entries);
+
+  /// The Prometheus text format.
+  [[nodiscard]] std::string text() const;
+
+private:
+  std::shared_ptr<prometheus::Registry> Registry;
+  prometheus::Family<prometheus::Counter> &Answers;
+  prometheus::Family<prometheus::Counter> &Refusals;
+  prometheus::Family<prometheus::Counter> &AttemptFailures;
+  prometheus::Counter &Retries;
+  prometheus::Family<prometheus::Counter> &Forwards;
+  prometheus::Family<prometheus::Counter> &Resends;
+  prometheus::Counter &RecordsRefused;
+  prometheus::Family<prometheus::Counter> &PlatformCalls;
+  prometheus::Family<prometheus::Counter> &Ejections;
+  prometheus::Histogram &Latency;
+  prometheus::Gauge &Callers;
+  prometheus::Gauge &Ready;
+  prometheus::Gauge &ObservationsLost;
+  prometheus::Gauge &HighestRevision;
+  prometheus::Gauge &Keys;
+};
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NODE_METRICS_H
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,94 @@
+#include "node/node.h"
+#include "core/address.h"
+#include "net/boot_time.h"
+#include "node/caller_server.h"
+#include "node/decision_loop.h"
+#include "node/node_context.h"
+#include "node/operator_server.h"
+#include "node/platform_client.h"
+#include "node/prober.h"
+#include "node/snapshot.h"
+#include "siskinstage/config.h"
+
+#include <random>
+
+namespace siskinstage {
+
+namespace {
+
+std::shared_ptr<const Snapshot> emptySnapshot() {
+  auto Empty = std::make_shared<Snapshot>();
+  Empty->Routes = std::make_shared<RouteTable>();
+  Empty->AccountRecords = std::make_shared<Accounts>();
+  Empty->ServiceViews = std::make_shared<Services>();
+  return Empty;
+}
+
+std::uint64_t drawNumber() {
+  std::random_device Device;
+  return (static_cast<std::uint64_t>(Device()) << 32U) | Device();
+}
+
+} // namespace
+
+Result<std::unique_ptr<Node>> Node::start(const Settings &Set) {
+  std::unique_ptr<Node> New(new Node);
+  const auto Own = parseAddress(Set.Advertise.str());
+  if (!Own)
+    return fail(Step::Settings, "advertise", "no IPv4 address and port");
+  const Incarnation Process{drawNumber()};
+  New->Context =
+      std::make_unique<NodeContext>(Set, *Own, Process, emptySnapshot());
+  auto Operators = OperatorServer::start(*New->Context);
+  if (!Operators)
+    return tl::unexpected<Error>(Operators.error());
+  New->Operators = std::move(*Operators);
+  auto Callers = CallerServer::start(*New->Context);
+  if (!Callers)
+    return tl::unexpected<Error>(Callers.error());
+  New->Callers = std::move(*Callers);
+  New->startThreads(Process.Value);
+  logEvent(LogLevel::Info, "node " + Set.Id.str() + " has started",
+           {{"listen", Set.Listen.str()},
+            {"operators", Set.OperatorListen.str()},
+            {"incarnation", std::to_string(Process.Value)}});
+  return New;
+}
+
+void Node::startThreads(std::uint64_t Seed) {
+  NodeContext &Shared = *this->Context;
+  this->Threads.emplace_back([&Shared] { DecisionLoop(Shared).run(); });
+  this->Threads.emplace_back(
+      [&Shared, Seed] { PlatformClient(Shared, Seed).watchRecords(); });
+  this->Threads.emplace_back(
+      [&Shared, Seed] { PlatformClient(Shared, Seed).readInstances(); });
+  this->Threads.emplace_back([&Shared, Seed] { Prober(Shared, Seed).run(); });
+}
+
+void Node::shutDown() {
+  NodeContext &Shared = *this->Context;
+  Shared.Draining.store(true);
+  logEvent(LogLevel::Info, "the node is draining");
+  // Callers that hold an old answer may still connect for a moment.
+  Shared.Stop.sleep(config::ShutdownNotice);
+  const Instant Limit = bootNow() + config::ShutdownLimit;
+  while (Shared.CallerConnections.load() > 0 && bootNow() < Limit)
+    Shared.Stop.sleep(config::DecisionPeriod);
+  this->Callers->stopAccepting();
+  while (Shared.RequestsInFlight.load() > 0 && bootNow() < Limit)
+    Shared.Stop.sleep(config::DecisionPeriod);
+  logEvent(LogLevel::Info, "the node has drained",
+           {{"requests_cut", std::to_string(Shared.RequestsInFlight.load())}});
+}
+
+Node::~Node() {
+  if (!this->Context)
+    return;
+  this->Context->Stop.stop();
+  for (std::thread &Each : this->Threads)
+    Each.join();
+  if (this->Operators)
+    this->Operators->stop();
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,38 @@
+#ifndef SISKINSTAGE_NODE_NODE_H
+#define SISKINSTAGE_NODE_NODE_H
+
+#include "node/settings.h"
+#include "siskinstage/error.h"
+
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace siskinstage {
+
+struct NodeContext;
+class CallerServer;
+class OperatorServer;
+
+/// One running node with its threads.
+class Node {
+public:
+  static Result<std::unique_ptr<Node>> start(const Settings &Set);
+  ~Node();
+
+  /// Lets go: tells callers to leave, finishes what is in flight, ends.
+  void shutDown();
+
+private:
+  std::unique_ptr<NodeContext> Context;
+  std::unique_ptr<CallerServer> Callers;
+  std::unique_ptr<OperatorServer> Operators;
+  std::vector<std::thread> Threads;
+
+  Node() = default;
+  void startThreads(std::uint64_t Seed);
+};
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NODE_NODE_H
--- /dev/null
+++ b/src/node/node_context.cpp
@@ -0,0 +1,42 @@
+#include "node/node_context.h"
+#include "node/snapshot.h"
+#include "siskinstage/config.h"
+
+#include <array>
+#include <cstdio>
+#include <utility>
+
+namespace siskinstage {
+
+namespace {
+
+constexpr std::size_t UpdateRingSize = 256;
+
+} // namespace
+
+NodeContext::NodeContext(const Settings &Set, const AddressParts &Own,
+                         Incarnation Process,
+                         std::shared_ptr<const Snapshot> First)
+    : Set(Set), Snapshots(std::move(First)), Keys(Own, Process),
+      Observations(config::ObservationRingSize), Updates(UpdateRingSize) {}
+
+bool NodeContext::ready() const {
+  return !this->Draining.load() && this->Snapshots.get()->Configured;
+}
+
+RequestId NodeContext::newRequestId() {
+  std::array<char, 48> Text{};
+  const auto Number =
+      static_cast<unsigned long long>(this->NextRequest.fetch_add(1));
+  const auto Process =
+      static_cast<unsigned long long>(this->Keys.process().Value);
+  const int Length =
+      std::snprintf(Text.data(), Text.size(), "%016llx-%llx", Process, Number);
+  return RequestId(std::string(Text.data(), static_cast<std::size_t>(Length)));
+}
+
+void NodeContext::observe(Observation Seen) {
+  this->Observations.push(std::move(Seen));
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/node/node_context.h
@@ -0,0 +1,47 @@
+#ifndef SISKINSTAGE_NODE_NODE_CONTEXT_H
+#define SISKINSTAGE_NODE_NODE_CONTEXT_H
+
+#include "core/bounded_ring.h"
+#include "core/observation.h"
+#include "node/account_gate.h"
+#include "node/config_update.h"
+#include "node/key_owner.h"
+#include "node/metrics.h"
+#include "node/settings.h"
+#include "node/snapshot_holder.h"
+#include "node/stop_flag.h"
+
+#include <atomic>
+
+namespace siskinstage {
+
+/// What the threads of one node share.
+struct NodeContext {
+  NodeContext(const Settings &Set, const AddressParts &Own, Incarnation Process,
+              std::shared_ptr<const Snapshot> First);
+
+  Settings Set;
+  Metrics Measured;
+  SnapshotHolder Snapshots;
+  KeyOwner Keys;
+  AccountGate AccountLimits;
+  /// From handlers and the probe thread to the decision thread.
+  BoundedRing<Observation> Observations;
+  /// From the platform threads to the decision thread.
+  BoundedRing<ConfigUpdate> Updates;
+  StopFlag Stop;
+  std::atomic<bool> Draining{false}; ///< SIGTERM came.
+  std::atomic<std::uint32_t> CallerConnections{0};
+  std::atomic<std::uint32_t> RequestsInFlight{0};
+  std::atomic<std::uint64_t> NextRequest{1};
+
+  /// Whether callers are answered.
+  [[nodiscard]] bool ready() const;
+  /// An id that no other request of the fleet has.
+  RequestId newRequestId();
+  void observe(Observation Seen);
+};
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NODE_NODE_CONTEXT_H
--- /dev/null
+++ b/src/node/prober.cpp
@@ -0,0 +1,74 @@
+#include "node/prober.h"
+#include "net/boot_time.h"
+#include "net/http_client.h"
+#include "node/header_names.h"
+#include "node/node_context.h"
+#include "node/snapshot.h"
+#include "node/target_gauge.h"
+#include "siskinstage/config.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace siskinstage {
+
+namespace {
+
+constexpr const char *HealthPath = "/healthz";
+constexpr std::size_t MaxHealthBytes = 16 * 1024;
+
+using Probed =
+    std::pair<std::shared_ptr<const ServiceView>, const TargetView *>;
+
+std::vector<Probed> allTargets(const Snapshot &Now) {
+  std::vector<Probed> Targets;
+  for (const auto &[Name, Service] : *Now.ServiceViews)
+    for (const TargetView &Target : Service->Targets)
+      Targets.emplace_back(Service, &Target);
+  return Targets;
+}
+
+} // namespace
+
+Prober::Prober(NodeContext &Context, std::uint64_t Seed)
+    : Context(Context), Dice(Seed) {}
+
+void Prober::run() {
+  while (!this->Context.Stop.stopped()) {
+    const auto Targets = allTargets(*this->Context.Snapshots.get());
+    // The probes of one round are spread over the period.
+    const Duration Gap =
+        Duration(config::ProbePeriod) /
+        static_cast<std::int64_t>(std::max<std::size_t>(Targets.size(), 1));
+    for (const auto &[Service, Target] : Targets) {
+      const auto Jittered =
+          std::chrono::duration_cast<Duration>(Gap * 2 * this->Dice.unit());
+      if (this->Context.Stop.sleep(Jittered))
+        return;
+      this->probe(*Service, *Target);
+    }
+    if (Targets.empty())
+      this->Context.Stop.sleep(config::DecisionPeriod);
+  }
+}
+
+void Prober::probe(const ServiceView &Service, const TargetView &Target) {
+  const Instant Started = bootNow();
+  Target.Gauge->Pool.expire(Started);
+  const auto Answer = getOnce(Target.Spec.Where, HealthPath, MaxHealthBytes,
+                              Started + config::ProbeTimeout);
+  Observation Seen = {Service.Record.Name, Target.Spec.Id, Evidence::Success,
+                      bootNow() - Started, bootNow(),      true};
+  if (!Answer)
+    Seen.What = Answer.error().Where == Step::Connect ? Evidence::ConnectFailed
+                                                      : Evidence::Timeout;
+  else if (Answer->Head.get(header::Leaving, "") == "yes")
+    Seen.What = Evidence::Leaving;
+  else if (Answer->Head.getStatus() >= 500)
+    Seen.What = Evidence::Failure;
+  if (Seen.What == Evidence::Leaving)
+    Target.Gauge->SaidLeaving.store(true);
+  this->Context.observe(std::move(Seen));
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/node/request_body.cpp
@@ -0,0 +1,89 @@
+#include "node/request_body.h"
+#include "net/boot_time.h"
+#include "siskinstage/config.h"
+
+#include <xxhash.h>
+
+namespace siskinstage {
+
+void RequestBody::HashDeleter::operator()(XXH3_state_s *State) const {
+  XXH3_freeState(State);
+}
+
+RequestBody::RequestBody(Wire &Caller, const BodyFraming &Framing,
+                         bool ExpectContinue)
+    : Caller(Caller), Framing(Framing), Reader(Framing),
+      ContinueDue(ExpectContinue), Hash(XXH3_createState()) {
+  XXH3_64bits_reset(this->Hash.get());
+}
+
+RequestBody::~RequestBody() = default;
+
+ReadResult<void> RequestBody::readInto(std::string &Into) {
+  if (this->Reader.done())
+    return {};
+  const Instant Deadline = bootNow() + config::BodyStallTimeout;
+  if (this->ContinueDue && this->Caller.buffered().empty()) {
+    const auto Told =
+        this->Caller.write("HTTP/1.1 100 Continue\r\n\r\n", Deadline);
+    if (!Told)
+      return tl::unexpected<ReadFault>(Told.error());
+  }
+  this->ContinueDue = false;
+  const std::size_t Before = Into.size();
+  const auto Read = this->Reader.read(this->Caller, Into, Deadline);
+  if (!Read)
+    return Read;
+  const std::size_t Got = Into.size() - Before;
+  XXH3_64bits_update(this->Hash.get(), Into.data() + Before, Got);
+  this->Total += Got;
+  if (this->Total > config::MaxBodyBytes)
+    return tl::unexpected<ReadFault>(
+        HttpRefusal{413, "the body is longer than 64 MiB"});
+  return {};
+}
+
+ReadResult<void> RequestBody::hold() {
+  while (!this->Reader.done() &&
+         this->Held.size() < config::ReplayBufferBytes) {
+    const auto Read = this->readInto(this->Held);
+    if (!Read)
+      return Read;
+  }
+  return {};
+}
+
+ReadResult<std::string> RequestBody::next() {
+  std::string Part;
+  const auto Read = this->readInto(Part);
+  if (!Read)
+    return tl::unexpected<ReadFault>(Read.error());
+  return Part;
+}
+
+ReadResult<void> RequestBody::drain() {
+  while (!this->Reader.done()) {
+    const auto Part = this->next();
+    if (!Part)
+      return tl::unexpected<ReadFault>(Part.error());
+  }
+  return {};
+}
+
+bool RequestBody::replayable() const {
+  return this->Reader.done() && this->Total == this->Held.size();
+}
+
+std::optional<std::uint64_t> RequestBody::length() const {
+  if (const auto *Fixed = std::get_if<FixedBody>(&this->Framing))
+    return Fixed->Length;
+  if (this->Reader.done())
+    return this->Total;
+  return std::nullopt;
+}
+
+std::uint64_t RequestBody::hash() const {
+  return XXH3_64bits_digest(this->Hash.get());
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/node/request_body.h
@@ -0,0 +1,61 @@
+#ifndef SISKINSTAGE_NODE_REQUEST_BODY_H
+#define SISKINSTAGE_NODE_REQUEST_BODY_H
+
+#include "net/http_io.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+struct XXH3_state_s;
+
+namespace siskinstage {
+
+/// The body of a caller's request. Its first part is held, so that the request
+/// can be sent again; what is longer is passed on as it comes.
+class RequestBody {
+public:
+  /// \param ExpectContinue the caller waits for "100 Continue".
+  RequestBody(Wire &Caller, const BodyFraming &Framing, bool ExpectContinue);
+  ~RequestBody();
+  RequestBody(const RequestBody &) = delete;
+  RequestBody &operator=(const RequestBody &) = delete;
+
+  /// Reads until the body is whole or the held part is at its limit.
+  ReadResult<void> hold();
+  /// Reads the next part behind the held one; empty at the end.
+  ReadResult<std::string> next();
+  /// Reads and drops what is left, for its hash alone.
+  ReadResult<void> drain();
+
+  [[nodiscard]] const std::string &held() const { return this->Held; }
+  /// Whether the whole body was read.
+  [[nodiscard]] bool whole() const { return this->Reader.done(); }
+  /// Whether all of the body is held.
+  [[nodiscard]] bool replayable() const;
+  /// Its length, as far as known before its end.
+  [[nodiscard]] std::optional<std::uint64_t> length() const;
+  /// Hash of all that was read so far.
+  [[nodiscard]] std::uint64_t hash() const;
+
+private:
+  /// Frees the hash's state.
+  struct HashDeleter {
+    void operator()(XXH3_state_s *State) const;
+  };
+
+  Wire &Caller;
+  BodyFraming Framing;
+  BodyReader Reader;
+  bool ContinueDue;
+  std::string Held;
+  std::uint64_t Total = 0;
+  std::unique_ptr<XXH3_state_s, HashDeleter> Hash;
+
+  ReadResult<void> readInto(std::string &Into);
+};
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NODE_REQUEST_BODY_H
--- /dev/null
+++ b/src/node/request_flow.cpp
@@ -0,0 +1,382 @@
+#include "node/request_flow.h"
+#include "core/request_key.h"
+#include "net/boot_time.h"
+#include "node/entries_answer.h"
+#include "node/header_names.h"
+#include "node/node_context.h"
+#include "node/owner_forward.h"
+#include "node/target_gauge.h"
+#include "siskinstage/config.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace siskinstage {
+
+namespace {
+
+Fingerprint fingerprintOf(const std::string &Text) {
+  return {XXH3_64bits(Text.data(), Text.size())};
+}
+
+} // namespace
+
+RequestFlow::RequestFlow(NodeContext &Context, Wire &Caller,
+                         const CallerRequest &Request)
+    : Context(Context), Caller(Caller), Request(Request),
+      Body(Caller, Request.Framing, Request.ExpectContinue),
+      Reply(Caller, Request), Now(Context.Snapshots.get()) {
+  if (Context.Draining.load())
+    this->Reply.closeAfter();
+}
+
+bool RequestFlow::run() {
+  this->answer();
+  // A body that was left unread would be taken for the next request.
+  if (!this->Body.whole())
+    this->Reply.closeAfter();
+  this->Context.Measured.latency(bootNow() - this->Request.Arrived);
+  return !this->Reply.closes();
+}
+
+void RequestFlow::refuse(const Refusal &Refused) {
+  if (!this->Body.whole())
+    this->Reply.closeAfter();
+  this->Context.Measured.refused(Refused.Cause.Where, Refused.What);
+  logEvent(Refused.What == Outcome::Unknown ? LogLevel::Warn : LogLevel::Debug,
+           "request " + this->Request.Id.str() + " is refused",
+           {{"outcome", outcomeName(Refused.What)},
+            {"step", stepName(Refused.Cause.Where)},
+            {"peer", Refused.Cause.Peer},
+            {"reason", Refused.Cause.Reason}});
+  this->Reply.refuse(Refused);
+}
+
+void RequestFlow::refuse(int Status, Outcome What, Step Where, std::string Peer,
+                         std::string Reason) {
+  this->refuse(Refusal{
+      Status, What, {Where, std::move(Peer), std::move(Reason)}, std::nullopt});
+}
+
+void RequestFlow::refuseBody(const ReadFault &Fault) {
+  this->Reply.closeAfter();
+  if (const auto *Malformed = std::get_if<HttpRefusal>(&Fault))
+    this->refuse(Malformed->Status, Outcome::NotRun, Step::ReadRequest,
+                 "caller", Malformed->Reason);
+  else
+    this->refuse(408, Outcome::NotRun, Step::ReadRequest, "caller",
+                 readFaultText(Fault));
+}
+
+bool RequestFlow::route() {
+  const RouteRecord *Route = this->Now->Routes->find(
+      this->Request.Host, this->Request.Path, this->Request.Head.getMethod());
+  if (Route == nullptr) {
+    this->refuse(404, Outcome::NotRun, Step::Route, this->Request.Path,
+                 "no route matches host, path and method");
+    return false;
+  }
+  this->Service = this->Now->service(Route->Service);
+  if (!this->Service) {
+    this->refuse(503, Outcome::NotRun, Step::Route, Route->Service.str(),
+                 "route " + Route->Name.str() +
+                     " names a service that is not configured");
+    return false;
+  }
+  this->RouteRepeatable = Route->Repeatable;
+  return true;
+}
+
+void RequestFlow::answer() {
+  if (!this->Now->Configured) {
+    const bool Keyed = this->Request.Key.has_value();
+    this->refuse(503, Keyed ? Outcome::Unknown : Outcome::NotRun, Step::Route,
+                 this->Context.Set.Id.str(), "the node is not ready yet");
+    return;
+  }
+  if (this->Request.Path == EntriesPath) {
+    this->serveEntries();
+    return;
+  }
+  if (this->Request.Key) {
+    const auto Key =
+        parseRequestKey(*this->Request.Key, *this->Context.Set.Keys);
+    if (!Key) {
+      this->refuse(Key.error().Status, Outcome::NotRun, Step::Key, "caller",
+                   Key.error().Reason);
+      return;
+    }
+    this->serveKeyed(*Key);
+    return;
+  }
+  if (this->route())
+    this->serveUnkeyed();
+}
+
+void RequestFlow::serveEntries() {
+  const auto Drained = this->Body.drain();
+  if (!Drained) {
+    this->refuseBody(Drained.error());
+    return;
+  }
+  const auto Answer = entriesAnswer(this->Context, this->Request, *this->Now);
+  if (!Answer) {
+    this->refuse(Answer.error().Status, Outcome::NotRun, Step::ReadRequest,
+                 "caller", Answer.error().Reason);
+    return;
+  }
+  this->Reply.whole(*Answer);
+}
+
+void RequestFlow::serveUnkeyed() {
+  const auto Decided =
+      decideRepeatability(this->Request.RepeatableMark, this->RouteRepeatable,
+                          this->Request.Head.getMethod());
+  if (!Decided) {
+    this->refuse(400, Outcome::NotRun, Step::ReadRequest, "caller",
+                 Decided.error().Reason);
+    return;
+  }
+  this->Kind = *Decided;
+  const auto Held = this->Body.hold();
+  if (!Held) {
+    this->refuseBody(Held.error());
+    return;
+  }
+  DispatchEnd End = this->dispatchLimited("");
+  this->give(End);
+}
+
+std::string RequestFlow::keyFingerprintText() const {
+  return this->Request.Head.getMethod() + "\n" + this->Request.Host + "\n" +
+         this->Request.Head.getURI() + "\n" + this->Request.Account.str();
+}
+
+void RequestFlow::serveKeyed(const RequestKey &Key) {
+  const Duration Limit =
+      this->Request.TimeLeft.value_or(config::DefaultDeadline);
+  this->Deadline = this->Request.Arrived + Limit;
+  if (this->Context.Keys.owns(Key.Prefix)) {
+    this->serveOwned(Key);
+    return;
+  }
+  if (this->Context.Keys.atThisAddress(Key.Prefix)) {
+    this->refuse(502, Outcome::Unknown, Step::Key, this->Context.Set.Id.str(),
+                 "the process that gave out the key's prefix is gone");
+    return;
+  }
+  this->forwardToOwner(Key);
+}
+
+void RequestFlow::serveOwned(const RequestKey &Key) {
+  const Fingerprint Asked = fingerprintOf(this->keyFingerprintText());
+  const KeyTable::Claim Claimed = this->Context.Keys.claim(Key, Asked);
+  switch (Claimed) {
+  case KeyTable::Claim::New:
+    this->dispatchOwned(Key);
+    return;
+  case KeyTable::Claim::Joined:
+  case KeyTable::Claim::Ended:
+    this->joinFlight(Key);
+    return;
+  case KeyTable::Claim::Mismatch:
+    this->refuse(422, Outcome::NotRun, Step::Key, "caller",
+                 "the key was used for a different request");
+    return;
+  case KeyTable::Claim::Sealed:
+    this->refuse(503, Outcome::NotRun, Step::Key, this->Context.Set.Id.str(),
+                 "the key's epoch takes no new keys");
+    return;
+  case KeyTable::Claim::Expired:
+    this->refuse(409, Outcome::Unknown, Step::Key, this->Context.Set.Id.str(),
+                 "the key's epoch is over");
+    return;
+  }
+}
+
+void RequestFlow::joinFlight(const RequestKey &Key) {
+  const auto Drained = this->Body.drain();
+  if (!Drained) {
+    // The key is in use: nothing can be said of the first request from here.
+    this->Reply.closeAfter();
+    this->refuse(400, Outcome::Unknown, Step::ReadRequest, "caller",
+                 readFaultText(Drained.error()));
+    return;
+  }
+  const auto View = this->Context.Keys.awaitEnd(Key.Text, this->Deadline);
+  const auto Named = this->Context.Set.Id.str();
+  if (View && View->BodyHash && *View->BodyHash != this->Body.hash()) {
+    this->Context.Measured.resent("mismatch");
+    this->refuse(422, Outcome::NotRun, Step::Key, "caller",
+                 "the key was used for a request with another body");
+    return;
+  }
+  if (View && View->Now == KeyTable::State::Answered && View->Answer) {
+    this->Context.Measured.resent("answered");
+    this->Reply.whole(*View->Answer);
+    return;
+  }
+  if (View && View->Now == KeyTable::State::NotRun) {
+    this->Context.Measured.resent("not-run");
+    this->refuse(503, Outcome::NotRun, Step::Key, Named,
+                 "the request with this key was refused and will not run");
+    return;
+  }
+  this->Context.Measured.resent("unknown");
+  const bool Kept = View && View->Now == KeyTable::State::Answered;
+  this->refuse(504, Outcome::Unknown, Step::Key, Named,
+               Kept ? "the request ran, but its answer was too long to keep"
+                    : "what became of the first request is not known");
+}
+
+void RequestFlow::dispatchOwned(const RequestKey &Key) {
+  KeyOwner &Keys = this->Context.Keys;
+  // Whatever refuses the request from here on ends its key as not run, so that
+  // no late copy runs after its caller was told.
+  if (!this->route()) {
+    Keys.endNotRun(Key.Text);
+    return;
+  }
+  this->Kind = Repeatability::AtMostOnce;
+  const auto Held = this->Body.hold();
+  if (!Held) {
+    Keys.endNotRun(Key.Text);
+    this->refuseBody(Held.error());
+    return;
+  }
+  if (this->Body.whole())
+    Keys.setBodyHash(Key.Text, this->Body.hash());
+  DispatchEnd End = this->dispatchLimited(Key.Text);
+  if (this->Body.whole())
+    Keys.setBodyHash(Key.Text, this->Body.hash());
+  auto *Answer = std::get_if<DispatchedAnswer>(&End);
+  if (Answer == nullptr) {
+    // A key in flight ends as uncertain.
+    Keys.endNotRun(Key.Text);
+    this->give(End);
+    return;
+  }
+  // The answer is kept before the caller gets it: a caller that misses it can
+  // ask again.
+  if (Answer->Exchange->whole())
+    Keys.endAnswered(Key.Text, std::make_shared<const StoredAnswer>(
+                                   Answer->Exchange->answer()));
+  this->give(End);
+  Keys.endAnswered(Key.Text, nullptr);
+}
+
+void RequestFlow::forwardToOwner(const RequestKey &Key) {
+  const auto Held = this->Body.hold();
+  if (!Held) {
+    this->Reply.closeAfter();
+    this->refuse(400, Outcome::Unknown, Step::ReadRequest, "caller",
+                 readFaultText(Held.error()));
+    return;
+  }
+  OwnerForward Forward(this->Context, this->Request, this->Body, *this->Now,
+                       this->Deadline);
+  auto Answer = Forward.run(formatAddress(Key.Prefix.Owner));
+  if (!Answer) {
+    this->Context.Measured.forwarded("failed");
+    this->refuse(Answer.error());
+    return;
+  }
+  this->Context.Measured.forwarded("answered");
+  (*Answer)->restoreOwnHeaders();
+  if ((*Answer)->whole())
+    this->Reply.whole((*Answer)->answer());
+  else
+    this->stream(**Answer);
+}
+
+DispatchEnd RequestFlow::dispatchLimited(const std::string &OwnedKey) {
+  const auto Known = this->Now->AccountRecords->find(this->Request.Account);
+  if (Known == this->Now->AccountRecords->end())
+    return this->dispatch(OwnedKey);
+  const AccountRecord &Account = Known->second;
+  const std::size_t Nodes =
+      std::min(this->Now->Fleet.EntriesPerAccount,
+               std::max<std::size_t>(this->Now->Nodes.size(), 1));
+  const auto Decision =
+      this->Context.AccountLimits.admit(Account, Nodes, bootNow());
+  if (Decision.Result != AccountLimiter::Admission::Admitted) {
+    const bool Rate =
+        Decision.Result == AccountLimiter::Admission::RateExceeded;
+    return Refusal{429,
+                   Outcome::NotRun,
+                   {Step::Limit, Account.Name.str(),
+                    Rate ? "the account is over its rate"
+                         : "the account has too many requests at once"},
+                   std::max<Duration>(Decision.RetryAfter, Millis(1))};
+  }
+  DispatchEnd End = this->dispatch(OwnedKey);
+  this->Context.AccountLimits.release(Account.Name);
+  return End;
+}
+
+DispatchEnd RequestFlow::dispatch(const std::string &OwnedKey) {
+  const Millis Limit =
+      std::min(this->Request.TimeLeft.value_or(this->Service->Record.Deadline),
+               config::MaxDeadline);
+  this->Deadline = this->Request.Arrived + Limit;
+  DispatchOrder Order;
+  Order.Request = &this->Request;
+  Order.Body = &this->Body;
+  Order.Service = this->Service;
+  Order.Kind = this->Kind;
+  Order.Deadline = this->Deadline;
+  Order.Caller = OwnedKey.empty() ? &this->Caller : nullptr;
+  Order.OwnedKey = OwnedKey;
+  return Dispatcher(this->Context, std::move(Order)).run();
+}
+
+void RequestFlow::give(DispatchEnd &End) {
+  if (auto *Answer = std::get_if<DispatchedAnswer>(&End))
+    this->giveAnswer(*Answer);
+  else if (const auto *Refused = std::get_if<Refusal>(&End))
+    this->refuse(*Refused);
+  else
+    this->Reply.closeAfter();
+}
+
+void RequestFlow::giveAnswer(DispatchedAnswer &Answer) {
+  TargetExchange &Exchange = *Answer.Exchange;
+  this->Context.Measured.answered(Exchange.answer().Status);
+  if (Exchange.bodyLeft())
+    this->Reply.closeAfter();
+  if (Exchange.whole()) {
+    const TargetView Target = Answer.Lease.target();
+    if (Target.Gauge)
+      Exchange.finish(Target.Gauge->Pool);
+    Answer.Lease.release();
+    this->Reply.whole(Exchange.answer());
+    return;
+  }
+  const TargetView Target = Answer.Lease.target();
+  if (this->stream(Exchange)) {
+    Exchange.finish(Target.Gauge->Pool);
+    return;
+  }
+  this->Context.Measured.attemptFailed(AttemptFailure::Kind::CutAnswer);
+}
+
+bool RequestFlow::stream(TargetExchange &Exchange) {
+  this->Reply.begin(Exchange.answer(), Exchange.length());
+  bool Reading = this->Reply.part(Exchange.answer().Body);
+  while (Reading && !Exchange.whole()) {
+    const auto Part = Exchange.nextPart();
+    if (!Part) {
+      logEvent(LogLevel::Warn,
+               "the answer to request " + this->Request.Id.str() +
+                   " broke off: " + Part.error().Attempt.Reason);
+      this->Reply.breakOff();
+      return false;
+    }
+    Reading = this->Reply.part(*Part);
+  }
+  if (Reading)
+    this->Reply.finish();
+  return Reading;
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/node/service_gate.cpp
@@ -0,0 +1,162 @@
+#include "node/service_gate.h"
+#include "net/boot_time.h"
+#include "node/snapshot_holder.h"
+#include "node/target_gauge.h"
+#include "siskinstage/config.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace siskinstage {
+
+namespace {
+
+/// Slots of a target that this node may use now.
+std::uint32_t usableSlots(const ServiceView &View, const TargetView &Target) {
+  const double Usable =
+      std::ceil(View.Record.SlotsPerTarget.Value * Target.Verdict.Share);
+  return static_cast<std::uint32_t>(std::max(1.0, Usable));
+}
+
+} // namespace
+
+TargetLease::TargetLease(std::shared_ptr<ServiceGate> Gate, TargetView Target)
+    : Gate(std::move(Gate)), Target(std::move(Target)) {}
+
+TargetLease::TargetLease(TargetLease &&Other) noexcept
+    : Gate(std::move(Other.Gate)), Target(std::move(Other.Target)) {
+  Other.Gate.reset();
+}
+
+TargetLease &TargetLease::operator=(TargetLease &&Other) noexcept {
+  if (this == &Other)
+    return *this;
+  this->release();
+  this->Gate = std::move(Other.Gate);
+  this->Target = std::move(Other.Target);
+  Other.Gate.reset();
+  return *this;
+}
+
+TargetLease::~TargetLease() { this->release(); }
+
+void TargetLease::release() {
+  if (!this->Gate)
+    return;
+  this->Target.Gauge->InFlight.fetch_sub(1);
+  this->Gate->leave();
+  this->Gate.reset();
+}
+
+ServiceGate::ServiceGate(ServiceName Name, std::uint64_t Seed)
+    : Name(std::move(Name)), How(makePolicy(RoutingPolicy::TwoChoices)),
+      Dice(Seed), Budget(config::RetryBudgetFraction, config::RetryBudgetBurst),
+      RetryFraction(config::RetryBudgetFraction) {}
+
+void ServiceGate::configure(RoutingPolicy Policy, double Fraction) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  if (Policy != this->PolicyName) {
+    this->PolicyName = Policy;
+    this->How = makePolicy(Policy);
+  }
+  if (Fraction == this->RetryFraction)
+    return;
+  this->RetryFraction = Fraction;
+  this->Budget = RetryBudget(Fraction, config::RetryBudgetBurst);
+}
+
+tl::expected<TargetLease, ServiceGate::Refusal>
+ServiceGate::tryEnter(const ServiceView &View, const FailureDomain &Own,
+                      const std::set<TargetId> &Tried, bool &Full) {
+  std::vector<Candidate> Candidates;
+  Full = false;
+  for (std::uint32_t I = 0; I < View.Targets.size(); ++I) {
+    const TargetView &Each = View.Targets[I];
+    const bool Open = Each.Verdict.Admitted && !Each.Gauge->SaidLeaving.load();
+    if (!Open || Tried.count(Each.Spec.Id) > 0)
+      continue;
+    const std::uint32_t InFlight = Each.Gauge->InFlight.load();
+    if (InFlight >= usableSlots(View, Each)) {
+      Full = true;
+      continue;
+    }
+    if (Each.Verdict.Share < 1.0 && this->Dice.unit() > Each.Verdict.Share) {
+      Full = true;
+      continue;
+    }
+    Candidates.push_back({I, InFlight, Each.Gauge->Reported.load(),
+                          !Own.empty() && Each.Spec.Domain == Own});
+  }
+  const auto Chosen = pick(this->How, Candidates, this->Dice);
+  if (!Chosen)
+    return tl::unexpected<Refusal>(Refusal::NoTarget);
+  const TargetView &Target = View.Targets[*Chosen];
+  Target.Gauge->InFlight.fetch_add(1);
+  Target.Gauge->Requests.fetch_add(1);
+  return TargetLease(this->shared_from_this(), Target);
+}
+
+bool ServiceGate::tooLate(const ServiceView &View, Instant Deadline) const {
+  // Those who wait are served in turns of one usual latency by all slots.
+  std::uint64_t Slots = 0;
+  for (const TargetView &Each : View.Targets)
+    Slots += Each.Verdict.Admitted ? View.Record.SlotsPerTarget.Value : 0;
+  if (Slots == 0)
+    return true;
+  const Duration Wait = View.Typical *
+                        static_cast<std::int64_t>(this->Waiting) /
+                        static_cast<std::int64_t>(Slots);
+  return Wait + View.Typical > timeLeft(Deadline);
+}
+
+tl::expected<TargetLease, ServiceGate::Refusal>
+ServiceGate::enter(const SnapshotHolder &Snapshots, const FailureDomain &Own,
+                   const std::set<TargetId> &Tried, Instant Deadline) {
+  const Instant Limit = std::min(Deadline, bootNow() + config::MaxQueueWait);
+  std::unique_lock<std::mutex> Guard(this->Lock);
+  bool Queued = false;
+  while (true) {
+    const auto View = Snapshots.get()->service(this->Name);
+    if (!View)
+      return tl::unexpected<Refusal>(Refusal::NoService);
+    bool Full = false;
+    auto Entered = this->tryEnter(*View, Own, Tried, Full);
+    if (Entered)
+      return Entered;
+    if (!Full)
+      return Entered;
+    if (bootNow() >= Limit)
+      return tl::unexpected<Refusal>(Refusal::TooLate);
+    if (!Queued && this->Waiting >= config::MaxQueuePerService)
+      return tl::unexpected<Refusal>(Refusal::QueueFull);
+    if (!Queued && this->tooLate(*View, Deadline))
+      return tl::unexpected<Refusal>(Refusal::TooLate);
+    Queued = true;
+    ++this->Waiting;
+    this->SlotFree.wait_for(Guard, config::QueuePollPeriod);
+    --this->Waiting;
+  }
+}
+
+void ServiceGate::leave() {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  if (this->Waiting > 0)
+    this->SlotFree.notify_one();
+}
+
+void ServiceGate::firstTry() {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  this->Budget.firstTry();
+}
+
+bool ServiceGate::takeRetry() {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  return this->Budget.takeRetry();
+}
+
+ServiceGate::Stats ServiceGate::stats() {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  return {this->Waiting, this->Budget.left()};
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/node/service_gate.h
@@ -0,0 +1,74 @@
+#ifndef SISKINSTAGE_NODE_SERVICE_GATE_H
+#define SISKINSTAGE_NODE_SERVICE_GATE_H
+
+#include "core/pick.h"
+#include "core/retry_budget.h"
+#include "node/target_lease.h"
+#include "siskinstage/units.h"
+
+#include <condition_variable>
+#include <cstdint>
+#include <mutex>
+#include <set>
+#include <tl/expected.hpp>
+
+namespace siskinstage {
+
+class SnapshotHolder;
+
+/// Lets requests to one service through to its targets: chooses the target,
+/// holds its slots, queues what finds none free, and keeps the retry budget.
+class ServiceGate : public std::enable_shared_from_this<ServiceGate> {
+public:
+  /// Why a request got no target.
+  enum class Refusal {
+    NoTarget,  ///< No admitted target that was not tried.
+    QueueFull, ///< Too many wait already.
+    TooLate,   ///< The wait would outlast the deadline, or did.
+    NoService, ///< The service's record went away meanwhile.
+  };
+
+  struct Stats {
+    std::uint32_t Waiting = 0;
+    double RetriesLeft = 0;
+  };
+
+  ServiceGate(ServiceName Name, std::uint64_t Seed);
+
+  /// A slot at a target that is admitted and not in \p Tried; waits for one
+  /// until \p Deadline.
+  tl::expected<TargetLease, Refusal> enter(const SnapshotHolder &Snapshots,
+                                           const FailureDomain &Own,
+                                           const std::set<TargetId> &Tried,
+                                           Instant Deadline);
+  /// Called by TargetLease when a slot is free again.
+  void leave();
+
+  void firstTry();
+  [[nodiscard]] bool takeRetry();
+  void configure(RoutingPolicy Policy, double RetryFraction);
+  [[nodiscard]] Stats stats();
+
+private:
+  ServiceName Name;
+  std::mutex Lock;
+  std::condition_variable SlotFree;
+  RoutingPolicy PolicyName = RoutingPolicy::TwoChoices;
+  Policy How;
+  Random Dice;
+  RetryBudget Budget;
+  double RetryFraction = 0;
+  std::uint32_t Waiting = 0;
+
+  /// Either a lease, or why there is none now; \p Full is set if targets were
+  /// left but had no free slot.
+  tl::expected<TargetLease, Refusal> tryEnter(const ServiceView &View,
+                                              const FailureDomain &Own,
+                                              const std::set<TargetId> &Tried,
+                                              bool &Full);
+  [[nodiscard]] bool tooLate(const ServiceView &View, Instant Deadline) const;
+};
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NODE_SERVICE_GATE_H
--- /dev/null
+++ b/src/node/settings.cpp
@@ -0,0 +1,177 @@
+#include "node/settings.h"
+#include "core/address.h"
+#include "net/flag_reader.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/reflection.h>
+#include <absl/flags/usage.h>
+#include <charconv>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+ABSL_FLAG(std::string, listen, "127.0.0.1:8080",
+          "Callers' port, as address:port.");
+ABSL_FLAG(std::string, advertise, "",
+          "Address at which callers and other nodes reach this node; the "
+          "callers' port if empty.");
+ABSL_FLAG(std::string, operator_listen, "127.0.0.1:9080",
+          "Operators' port, as address:port.");
+ABSL_FLAG(std::string, platform, "",
+          "Address of the platform's configuration service and instance list.");
+ABSL_FLAG(std::string, id, "",
+          "Name of this node; its advertised address if empty.");
+ABSL_FLAG(std::string, domain, "", "Failure domain of this node.");
+ABSL_FLAG(std::string, region, "", "Region of this node.");
+ABSL_FLAG(std::string, fleet_keys, "",
+          "Secret keys of the fleet, as id:hex,id:hex; the first signs.");
+ABSL_FLAG(std::string, fleet_keys_file, "",
+          "File with the secret keys of the fleet, in place of --fleet_keys.");
+ABSL_FLAG(std::string, max_connections, "2500",
+          "Most connections of callers at once, 1 to 20000.");
+ABSL_FLAG(std::string, ready_wait_ms, "10000",
+          "Longest wait for a first configuration before the node says that "
+          "it is not ready for lack of one, 0 to 600000.");
+ABSL_FLAG(std::string, log_level, "info", "debug, info, warn or error.");
+ABSL_FLAG(std::string, log_format, "kv", "kv or json.");
+ABSL_FLAG(bool, print_settings, false,
+          "Print the settings, without secrets, and exit.");
+
+namespace siskinstage {
+
+namespace {
+
+constexpr const char *UsageText =
+    "Entry node of a siskinstage fleet.\n"
+    "Every flag can be given as an environment variable SISKINSTAGE_<NAME>; "
+    "the flag wins.\n"
+    "Example:\n"
+    "  siskinstaged --listen=10.0.0.4:8080 --platform=10.0.9.1:7000 "
+    "--domain=zaandam --fleet_keys_file=/run/siskinstage/keys";
+
+const std::vector<std::string> Names = {"listen",
+                                        "advertise",
+                                        "operator_listen",
+                                        "platform",
+                                        "id",
+                                        "domain",
+                                        "region",
+                                        "fleet_keys",
+                                        "fleet_keys_file",
+                                        "max_connections",
+                                        "ready_wait_ms",
+                                        "log_level",
+                                        "log_format"};
+
+Address readAddress(const std::string &Name, const std::string &Value,
+                    std::vector<Error> &Faults) {
+  if (!parseAddress(Value))
+    Faults.push_back(
+        {Step::Settings, Name,
+         "found \"" + Value + "\", allowed is an IPv4 address and port"});
+  return Address(Value);
+}
+
+int readNumber(const std::string &Name, const std::string &Value, int Least,
+               int Most, std::vector<Error> &Faults) {
+  int Number = 0;
+  const char *End = Value.data() + Value.size();
+  const auto [Next, Fault] = std::from_chars(Value.data(), End, Number);
+  if (Fault == std::errc{} && Next == End && Number >= Least && Number <= Most)
+    return Number;
+  Faults.push_back({Step::Settings, Name,
+                    "found \"" + Value + "\", allowed is a number from " +
+                        std::to_string(Least) + " to " + std::to_string(Most)});
+  return Least;
+}
+
+template <typename T>
+T readChoice(const std::string &Name, const std::string &Value,
+             const std::map<std::string, T> &Choices,
+             std::vector<Error> &Faults) {
+  const auto Found = Choices.find(Value);
+  if (Found != Choices.end())
+    return Found->second;
+  std::string Allowed;
+  for (const auto &[Choice, Meaning] : Choices)
+    Allowed += (Allowed.empty() ? "" : ", ") + Choice;
+  Faults.push_back({Step::Settings, Name,
+                    "found \"" + Value + "\", allowed is one of " + Allowed});
+  return Choices.begin()->second;
+}
+
+std::string keyText(std::vector<Error> &Faults) {
+  const std::string File = absl::GetFlag(FLAGS_fleet_keys_file);
+  if (File.empty())
+    return absl::GetFlag(FLAGS_fleet_keys);
+  std::ifstream Stream(File);
+  std::string Line;
+  if (!std::getline(Stream, Line))
+    Faults.push_back(
+        {Step::Settings, "fleet_keys_file", "\"" + File + "\" can't be read"});
+  return Line;
+}
+
+std::optional<KeyRing> readKeys(std::vector<Error> &Faults) {
+  auto Ring = KeyRing::parse(keyText(Faults));
+  if (Ring)
+    return std::move(*Ring);
+  Faults.push_back(Ring.error());
+  return std::nullopt;
+}
+
+} // namespace
+
+Settings readSettings(int Argc, char **Argv, std::vector<Error> &Faults) {
+  absl::SetProgramUsageMessage(UsageText);
+  for (const std::string &Word : readFlags(Argc, Argv, Names, Faults))
+    Faults.push_back({Step::Settings, Word, "this argument is no flag"});
+
+  Settings Read;
+  Read.Listen = readAddress("listen", absl::GetFlag(FLAGS_listen), Faults);
+  const std::string Advertise = absl::GetFlag(FLAGS_advertise);
+  Read.Advertise = Advertise.empty()
+                       ? Read.Listen
+                       : readAddress("advertise", Advertise, Faults);
+  Read.OperatorListen = readAddress(
+      "operator_listen", absl::GetFlag(FLAGS_operator_listen), Faults);
+  Read.Platform =
+      readAddress("platform", absl::GetFlag(FLAGS_platform), Faults);
+  const std::string Id = absl::GetFlag(FLAGS_id);
+  Read.Id = NodeId(Id.empty() ? Read.Advertise.str() : Id);
+  Read.Domain = FailureDomain(absl::GetFlag(FLAGS_domain));
+  if (Read.Domain.empty())
+    Faults.push_back({Step::Settings, "domain",
+                      "found nothing, allowed is the name of the failure "
+                      "domain"});
+  Read.Region = absl::GetFlag(FLAGS_region);
+  Read.Keys = readKeys(Faults);
+  Read.MaxConnections =
+      readNumber("max_connections", absl::GetFlag(FLAGS_max_connections), 1,
+                 20'000, Faults);
+  Read.ReadyWait = Millis(readNumber(
+      "ready_wait_ms", absl::GetFlag(FLAGS_ready_wait_ms), 0, 600'000, Faults));
+  Read.Level = readChoice<LogLevel>("log_level", absl::GetFlag(FLAGS_log_level),
+                                    {{"debug", LogLevel::Debug},
+                                     {"info", LogLevel::Info},
+                                     {"warn", LogLevel::Warn},
+                                     {"error", LogLevel::Error}},
+                                    Faults);
+  Read.Format = readChoice<LogFormat>(
+      "log_format", absl::GetFlag(FLAGS_log_format),
+      {{"kv", LogFormat::KeyValue}, {"json", LogFormat::Json}}, Faults);
+  Read.PrintOnly = absl::GetFlag(FLAGS_print_settings);
+  return Read;
+}
+
+std::string printedSettings() {
+  std::ostringstream Text;
+  for (const std::string &Name : Names) {
+    const std::string Value = absl::FindCommandLineFlag(Name)->CurrentValue();
+    const bool Secret = Name == "fleet_keys" && !Value.empty();
+    Text << Name << '=' << (Secret ? "(set, not shown)" : Value) << '\n';
+  }
+  return Text.str();
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/node/settings.h
@@ -0,0 +1,42 @@
+#ifndef SISKINSTAGE_NODE_SETTINGS_H
+#define SISKINSTAGE_NODE_SETTINGS_H
+
+#include "core/key_ring.h"
+#include "node/log.h"
+#include "siskinstage/strong_id.h"
+#include "siskinstage/units.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace siskinstage {
+
+/// The checked settings of one node.
+struct Settings {
+  Address Listen;         ///< Callers' port.
+  Address Advertise;      ///< Where callers and other nodes reach it.
+  Address OperatorListen; ///< Operators' port.
+  Address Platform;
+  NodeId Id;
+  FailureDomain Domain;
+  std::string Region;
+  std::optional<KeyRing> Keys;
+  int MaxConnections = 0;
+  LogLevel Level = LogLevel::Info;
+  LogFormat Format = LogFormat::KeyValue;
+  Millis ReadyWait{};     ///< Longest wait for the platform before serving.
+  bool PrintOnly = false; ///< Print the settings and exit.
+};
+
+/// Reads flags and environment variables; a flag wins over its variable.
+/// \param Faults receives every fault, each naming its setting.
+/// \returns the settings, of use only if there is no fault.
+Settings readSettings(int Argc, char **Argv, std::vector<Error> &Faults);
+
+/// "name=value" lines of all settings, with secrets left out.
+std::string printedSettings();
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NODE_SETTINGS_H
--- /dev/null
+++ b/src/node/snapshot.cpp
@@ -0,0 +1,11 @@
+#include "node/snapshot.h"
+
+namespace siskinstage {
+
+std::shared_ptr<const ServiceView>
+Snapshot::service(const ServiceName &Name) const {
+  const auto Found = this->ServiceViews->find(Name);
+  return Found == this->ServiceViews->end() ? nullptr : Found->second;
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/node/snapshot.h
@@ -0,0 +1,59 @@
+#ifndef SISKINSTAGE_NODE_SNAPSHOT_H
+#define SISKINSTAGE_NODE_SNAPSHOT_H
+
+#include "core/route_table.h"
+#include "core/service_health.h"
+#include "core/steering.h"
+#include "siskinstage/account_record.h"
+#include "siskinstage/fleet_record.h"
+#include "siskinstage/units.h"
+
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace siskinstage {
+
+class ServiceGate;
+struct TargetGauge;
+
+/// One target of a service as handlers see it.
+struct TargetView {
+  TargetSpec Spec;
+  TargetVerdict Verdict;
+  std::shared_ptr<TargetGauge> Gauge;
+};
+
+/// One service as handlers see it.
+struct ServiceView {
+  ServiceRecord Record;
+  std::vector<TargetView> Targets;
+  std::shared_ptr<ServiceGate> Gate;
+  Duration Typical{}; ///< Usual latency, zero if not known.
+};
+
+using Services =
+    std::unordered_map<ServiceName, std::shared_ptr<const ServiceView>>;
+using Accounts = std::unordered_map<AccountName, AccountRecord>;
+
+/// Everything that handlers read. It never changes; the decision thread swaps
+/// in a new one.
+struct Snapshot {
+  std::uint64_t Version = 0;
+  Revision Highest;
+  std::size_t Records = 0;
+  bool Configured = false; ///< A whole configuration has been read.
+  std::shared_ptr<const RouteTable> Routes;
+  std::shared_ptr<const Accounts> AccountRecords;
+  std::shared_ptr<const Services> ServiceViews;
+  FleetRecord Fleet;
+  std::vector<SteeringNode> Nodes; ///< Live entry instances.
+
+  /// The service, or null.
+  [[nodiscard]] std::shared_ptr<const ServiceView>
+  service(const ServiceName &Name) const;
+};
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NODE_SNAPSHOT_H
--- /dev/null
+++ b/src/node/state_dump.cpp
@@ -0,0 +1,109 @@
+#include "node/state_dump.h"
+#include "node/node_context.h"
+#include "node/service_gate.h"
+#include "node/snapshot.h"
+#include "node/target_gauge.h"
+
+namespace siskinstage {
+
+namespace {
+
+Json::Value targetDump(const TargetView &Target) {
+  const ConnectionPool::Stats Pool = Target.Gauge->Pool.stats();
+  Json::Value Dump(Json::objectValue);
+  Dump["id"] = Target.Spec.Id.str();
+  Dump["address"] = Target.Spec.Where.str();
+  Dump["domain"] = Target.Spec.Domain.str();
+  Dump["state"] = Target.Verdict.Leaving
+                      ? "leaving"
+                      : targetStateName(Target.Verdict.State);
+  Dump["admitted"] = Target.Verdict.Admitted;
+  Dump["kept_by_floor"] = Target.Verdict.KeptByFloor;
+  Dump["share"] = Target.Verdict.Share;
+  Dump["reason"] = Target.Verdict.Reason;
+  Dump["ejections"] = Target.Verdict.Ejections;
+  Dump["in_flight"] = Target.Gauge->InFlight.load();
+  Dump["reported_in_flight"] = Target.Gauge->Reported.load();
+  Dump["requests"] = static_cast<Json::UInt64>(Target.Gauge->Requests.load());
+  Dump["connections_opened"] = static_cast<Json::UInt64>(Pool.Opened);
+  Dump["connections_reused"] = static_cast<Json::UInt64>(Pool.Reused);
+  return Dump;
+}
+
+Json::Value serviceDump(const ServiceView &Service) {
+  const ServiceGate::Stats Gate = Service.Gate->stats();
+  Json::Value Dump(Json::objectValue);
+  Dump["name"] = Service.Record.Name.str();
+  Dump["slots_per_target"] = Service.Record.SlotsPerTarget.Value;
+  Dump["floor"] = Service.Record.Floor;
+  Dump["detection"] = Service.Record.Detection == DetectionPreference::Fast
+                          ? "fast"
+                          : "careful";
+  Dump["usual_latency_us"] = static_cast<Json::Int64>(
+      std::chrono::duration_cast<std::chrono::microseconds>(Service.Typical)
+          .count());
+  Dump["waiting"] = Gate.Waiting;
+  Dump["retries_left"] = Gate.RetriesLeft;
+  Json::Value &Targets = Dump["targets"] = Json::Value(Json::arrayValue);
+  for (const TargetView &Target : Service.Targets)
+    Targets.append(targetDump(Target));
+  return Dump;
+}
+
+Json::Value nodeDump(NodeContext &Context) {
+  Json::Value Dump(Json::objectValue);
+  Dump["id"] = Context.Set.Id.str();
+  Dump["address"] = Context.Set.Advertise.str();
+  Dump["domain"] = Context.Set.Domain.str();
+  Dump["region"] = Context.Set.Region;
+  Dump["incarnation"] = static_cast<Json::UInt64>(Context.Keys.process().Value);
+  Dump["ready"] = Context.ready();
+  Dump["draining"] = Context.Draining.load();
+  Dump["caller_connections"] = Context.CallerConnections.load();
+  Dump["requests_in_flight"] = Context.RequestsInFlight.load();
+  Dump["observations_lost"] =
+      static_cast<Json::UInt64>(Context.Observations.lost());
+  Json::Value &KeyIds = Dump["fleet_key_ids"] = Json::Value(Json::arrayValue);
+  for (const std::string &Id : Context.Set.Keys->ids())
+    KeyIds.append(Id);
+  return Dump;
+}
+
+Json::Value keysDump(NodeContext &Context) {
+  const KeyTable::Stats Stats = Context.Keys.stats();
+  Json::Value Dump(Json::objectValue);
+  Dump["entries"] = static_cast<Json::UInt64>(Stats.Entries);
+  Dump["live"] = static_cast<Json::UInt64>(Stats.Live);
+  Dump["answer_bytes"] = static_cast<Json::UInt64>(Stats.AnswerBytes);
+  return Dump;
+}
+
+} // namespace
+
+Json::Value stateDump(NodeContext &Context) {
+  const auto Now = Context.Snapshots.get();
+  Json::Value Dump(Json::objectValue);
+  Dump["node"] = nodeDump(Context);
+  Dump["keys"] = keysDump(Context);
+  Json::Value &Config = Dump["config"] = Json::Value(Json::objectValue);
+  Config["configured"] = Now->Configured;
+  Config["highest_revision"] = static_cast<Json::UInt64>(Now->Highest.Value);
+  Config["records"] = static_cast<Json::UInt64>(Now->Records);
+  Config["routes"] = static_cast<Json::UInt64>(Now->Routes->size());
+  Config["accounts"] = static_cast<Json::UInt64>(Now->AccountRecords->size());
+  Config["snapshot"] = static_cast<Json::UInt64>(Now->Version);
+  Json::Value &Members = Dump["members"] = Json::Value(Json::arrayValue);
+  for (const SteeringNode &Node : Now->Nodes) {
+    Json::Value Member(Json::objectValue);
+    Member["id"] = Node.Id.str();
+    Member["address"] = Node.Where.str();
+    Member["domain"] = Node.Domain.str();
+    Members.append(Member);
+  }
+  Json::Value &Services = Dump["services"] = Json::Value(Json::arrayValue);
+  for (const auto &[Name, Service] : *Now->ServiceViews)
+    Services.append(serviceDump(*Service));
+  return Dump;
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/node/state_dump.h
@@ -0,0 +1,16 @@
+#ifndef SISKINSTAGE_NODE_STATE_DUMP_H
+#define SISKINSTAGE_NODE_STATE_DUMP_H
+
+#include <json/value.h>
+
+namespace siskinstage {
+
+struct NodeContext;
+
+/// Everything that the node knows and has decided, for operators. No secret
+/// stands in it.
+Json::Value stateDump(NodeContext &Context);
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NODE_STATE_DUMP_H
--- /dev/null
+++ b/src/node/target_exchange.cpp
@@ -0,0 +1,250 @@
+#include "node/target_exchange.h"
+#include "net/boot_time.h"
+#include "node/header_names.h"
+#include "siskinstage/config.h"
+
+#include <Poco/NumberParser.h>
+#include <algorithm>
+
+namespace siskinstage {
+
+namespace {
+
+using Kind = AttemptFailure::Kind;
+
+/// Headers of a target's answer that are not passed on.
+constexpr const char *OwnHeaders[] = {header::Outcome, header::RequestId,
+                                      header::Leaving, header::InFlight,
+                                      "Content-Length"};
+
+bool wantsClose(const Poco::Net::HTTPResponse &Head) {
+  return !Head.getKeepAlive();
+}
+
+} // namespace
+
+TargetExchange::TargetExchange(PooledConnection Taken, ExchangeOrder Order)
+    : Taken(std::move(Taken)), Order(std::move(Order)) {}
+
+ExchangeFailure TargetExchange::failure(Kind What, const ReadFault &Fault) {
+  ExchangeFailure Failed;
+  Failed.Attempt = {What, this->Sent > 0, readFaultText(Fault)};
+  if (const auto *Broken = std::get_if<WireFault>(&Fault)) {
+    Failed.CallerGone = Broken->What == WireFault::Kind::Cancelled;
+    Failed.TimedOut = Broken->What == WireFault::Kind::Timeout;
+  }
+  return Failed;
+}
+
+ExchangeFailure TargetExchange::bodyFailure(const ReadFault &Fault) {
+  ExchangeFailure Failed = this->failure(Kind::SendFailed, Fault);
+  Failed.CallerGone = true;
+  Failed.TimedOut = false;
+  if (const auto *Malformed = std::get_if<HttpRefusal>(&Fault))
+    Failed.BodyFault = *Malformed;
+  return Failed;
+}
+
+ExchangeResult<void> TargetExchange::run() {
+  const auto Sending = this->send();
+  if (!Sending)
+    return Sending;
+  return this->readAnswerHead();
+}
+
+ExchangeResult<void> TargetExchange::send() {
+  Poco::Net::HTTPRequest &Request = this->Order.Head;
+  const auto Length = this->Order.Body->length();
+  if (!Length)
+    Request.setChunkedTransferEncoding(true);
+  else if (*Length > 0 || Request.getMethod() == "POST" ||
+           Request.getMethod() == "PUT" || Request.getMethod() == "PATCH")
+    Request.setContentLength64(static_cast<Poco::Int64>(*Length));
+  const std::string &Held = this->Order.Body->held();
+
+  // The clock is read as late as can be: a process that was paused may wake
+  // long after the deadline.
+  const auto Left =
+      std::chrono::duration_cast<Millis>(timeLeft(this->Order.Deadline));
+  Request.set(header::Deadline, std::to_string(Left.count()));
+  std::string Text = headText(Request);
+  if (Length)
+    Text += Held;
+  else if (!Held.empty())
+    Text += chunkText(Held);
+  if (timeLeft(this->Order.Deadline) < Millis(1))
+    return tl::unexpected<ExchangeFailure>(ExchangeFailure{
+        {Kind::DeadlinePast, false, "the deadline passed before the dispatch"},
+        false,
+        true,
+        false,
+        {}});
+  const auto Written =
+      this->Taken.Connection.write(Text, this->Order.Deadline, this->Sent);
+  if (!Written) {
+    ExchangeFailure Failed = this->failure(Kind::SendFailed, Written.error());
+    Failed.StaleReuse = this->Taken.Reused && !Failed.TimedOut;
+    return tl::unexpected<ExchangeFailure>(Failed);
+  }
+  return this->sendRest(!Length);
+}
+
+ExchangeResult<void> TargetExchange::sendRest(bool Chunked) {
+  Wire &Target = this->Taken.Connection;
+  while (!this->Order.Body->whole()) {
+    // A target that answers early does not want the rest.
+    if (Target.stale())
+      return {};
+    const auto Part = this->Order.Body->next();
+    if (!Part)
+      return tl::unexpected<ExchangeFailure>(this->bodyFailure(Part.error()));
+    if (Part->empty())
+      break;
+    const auto Written =
+        Chunked
+            ? Target.write(chunkText(*Part), this->Order.Deadline, this->Sent)
+            : Target.write(*Part, this->Order.Deadline, this->Sent);
+    if (!Written)
+      return {}; // It may still have answered why.
+  }
+  if (!Chunked)
+    return {};
+  const auto Ended =
+      Target.write("0\r\n\r\n", this->Order.Deadline, this->Sent);
+  if (!Ended)
+    return tl::unexpected<ExchangeFailure>(
+        this->failure(Kind::SendFailed, Ended.error()));
+  return {};
+}
+
+ExchangeResult<void> TargetExchange::readAnswerHead() {
+  const Instant Now = bootNow();
+  Instant Limit = this->Order.Deadline;
+  const bool MaySilence =
+      this->Taken.Reused && this->Order.SilentLimit > Duration::zero();
+  if (MaySilence)
+    Limit = std::min(Limit, Now + this->Order.SilentLimit);
+  while (true) {
+    const auto Lines =
+        readHead(this->Taken.Connection, HeadKind::Answer, Limit,
+                 timeLeft(this->Order.Deadline), this->Order.Caller);
+    if (!Lines) {
+      const bool Malformed = std::holds_alternative<HttpRefusal>(Lines.error());
+      ExchangeFailure Failed = this->failure(
+          Malformed ? Kind::BadAnswer : Kind::NoAnswer, Lines.error());
+      Failed.StaleReuse = this->isStale(Failed, MaySilence);
+      return tl::unexpected<ExchangeFailure>(Failed);
+    }
+    auto Taking = this->takeHead(*Lines);
+    // Interim answers, as "103 Early Hints", come before the one that counts.
+    if (!Taking || this->Head.getStatus() >= 200)
+      return Taking;
+  }
+}
+
+bool TargetExchange::isStale(const ExchangeFailure &Failed,
+                             bool MaySilence) const {
+  if (!this->Taken.Reused || Failed.CallerGone ||
+      Failed.Attempt.What != Kind::NoAnswer)
+    return false;
+  if (!Failed.TimedOut)
+    return true;
+  return MaySilence && bootNow() < this->Order.Deadline;
+}
+
+ExchangeResult<void> TargetExchange::takeHead(const std::string &Lines) {
+  auto Parsed = parseAnswer(Lines);
+  if (!Parsed)
+    return tl::unexpected<ExchangeFailure>(
+        this->failure(Kind::BadAnswer, Parsed.error()));
+  this->Head = *Parsed;
+  const auto Decided =
+      answerFraming(framingFields(this->Head), this->Order.Head.getMethod(),
+                    this->Head.getStatus());
+  if (!Decided)
+    return tl::unexpected<ExchangeFailure>(
+        this->failure(Kind::BadAnswer, Decided.error()));
+  this->Framing = *Decided;
+  this->Reader.emplace(this->Framing);
+
+  const std::string Echo = this->Head.get(header::RequestId, "");
+  const bool Missing =
+      Echo.empty() && this->Order.RequireEcho && this->Head.getStatus() >= 200;
+  const bool Foreign =
+      this->CheckEcho && !Echo.empty() && Echo != this->Order.Id.str();
+  if (Missing || Foreign)
+    return tl::unexpected<ExchangeFailure>(this->failure(
+        Kind::BadAnswer,
+        HttpRefusal{502, "the answer carries the id of another request or "
+                         "none"}));
+  this->readTargetHeaders();
+  return {};
+}
+
+void TargetExchange::readTargetHeaders() {
+  this->OutcomeText = this->Head.get(header::Outcome, "");
+  this->NotRun = this->OutcomeText == "not-run";
+  this->Leaving = this->Head.get(header::Leaving, "") == "yes";
+  unsigned InFlightNow = 0;
+  if (Poco::NumberParser::tryParseUnsigned(this->Head.get(header::InFlight, ""),
+                                           InFlightNow))
+    this->InFlight = InFlightNow;
+  this->Reusable = !wantsClose(this->Head) && !this->Leaving;
+  const std::string Length = this->Head.get("Content-Length", "");
+  dropHopHeaders(this->Head);
+  for (const char *Name : OwnHeaders)
+    this->Head.erase(Name);
+  // Without a body of its own, the answer keeps the length it speaks of.
+  const bool KeepLength = this->Order.Head.getMethod() == "HEAD";
+  this->Answer.Headers.assign(this->Head.begin(), this->Head.end());
+  if (KeepLength && !Length.empty())
+    this->Answer.Headers.emplace_back("Content-Length", Length);
+  this->Answer.Status = this->Head.getStatus();
+  this->Answer.Reason = this->Head.getReason();
+}
+
+ExchangeResult<void> TargetExchange::holdBody(std::size_t MaxBytes) {
+  while (!this->Reader->done() && this->Answer.Body.size() < MaxBytes) {
+    const auto Read =
+        this->Reader->read(this->Taken.Connection, this->Answer.Body,
+                           this->Order.Deadline, this->Order.Caller);
+    if (!Read)
+      return tl::unexpected<ExchangeFailure>(
+          this->failure(Kind::CutAnswer, Read.error()));
+  }
+  return {};
+}
+
+ExchangeResult<std::string> TargetExchange::nextPart() {
+  std::string Part;
+  const auto Read = this->Reader->read(this->Taken.Connection, Part,
+                                       bootNow() + config::BodyStallTimeout);
+  if (!Read)
+    return tl::unexpected<ExchangeFailure>(
+        this->failure(Kind::CutAnswer, Read.error()));
+  return Part;
+}
+
+std::optional<std::uint64_t> TargetExchange::length() const {
+  if (const auto *Fixed = std::get_if<FixedBody>(&this->Framing))
+    return Fixed->Length;
+  return std::nullopt;
+}
+
+void TargetExchange::restoreOwnHeaders() {
+  if (!this->OutcomeText.empty())
+    this->Answer.Headers.emplace_back(header::Outcome, this->OutcomeText);
+}
+
+void TargetExchange::finish(ConnectionPool &Pool) {
+  if (this->Finished)
+    return;
+  this->Finished = true;
+  if (this->Reusable && this->whole() && !this->bodyLeft() &&
+      this->Taken.Connection.buffered().empty())
+    Pool.put(std::move(this->Taken));
+  else
+    this->Taken.Connection.close();
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/tests/integration/test_whole_path.py
@@ -0,0 +1,92 @@
+"""The whole path with real processes: caller, node, target, and back."""
+
+import json
+import signal
+import unittest
+
+import fleet
+from fleet import NODE_PORT, OPERATOR_PORT, Fleet, call, run_load
+
+
+class WholePath(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = Fleet(nodes=2).__enter__()
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.fleet.stop()
+
+    def test_every_answer_is_whole_and_its_callers_own(self):
+        figures = run_load(nodes=self.fleet.node_list(), service="price-board",
+                           path="/boards/1", rate=200, seconds=2, seed=3)
+        self.assertEqual(figures["wrong"] + figures["broken"], 0)
+        self.assertEqual(figures["answered"], figures["sent"])
+
+    def test_a_long_answer_and_a_long_body_come_whole(self):
+        figures = run_load(nodes=self.fleet.node_list(), service="lab-intake",
+                           path="/reports/1", method="PUT", rate=5, seconds=2,
+                           body_bytes=3_000_000, answer_bytes=2_000_000,
+                           deadline_ms=20000, connections=4)
+        self.assertEqual(figures["answered"], figures["sent"])
+
+    def test_an_unknown_route_is_refused_truthfully(self):
+        status, body = call(NODE_PORT, "GET", "/nothing")
+        self.assertEqual(status, 404)
+        self.assertEqual(json.loads(body)["outcome"], "not-run")
+
+    def test_keyed_work_runs_once_through_any_node(self):
+        _, body = call(NODE_PORT, "GET", "/.siskinstage/v1/entries"
+                       "?service=allocation&account=a")
+        entries = json.loads(body)
+        key = entries["key_prefix"] + ".sale-1"
+        headers = {"Idempotency-Key": key, "Load-Answer-Bytes": "10"}
+        first = call(NODE_PORT, "POST", "/allocations/7", "lot", 10, headers)
+        again = call(NODE_PORT + 1, "POST", "/allocations/7", "lot", 10,
+                     headers)
+        self.assertEqual(first[0], 200)
+        self.assertEqual(first, again)
+        self.assertEqual(self.fleet.ledger()[key], 1)
+        other = call(NODE_PORT, "POST", "/allocations/7", "other", 10, headers)
+        self.assertEqual(other[0], 422)
+
+    def test_a_forged_key_is_refused(self):
+        status, body = call(NODE_PORT, "POST", "/allocations/7", "lot", 10,
+                            {"Idempotency-Key": "ab" * 26 + ".x"})
+        self.assertEqual(status, 400)
+        self.assertEqual(json.loads(body)["outcome"], "not-run")
+
+    def test_operators_pages(self):
+        for page in ("/healthz", "/readyz", "/metrics", "/state"):
+            self.assertEqual(call(OPERATOR_PORT, "GET", page)[0], 200, page)
+        self.assertNotIn("001122", call(OPERATOR_PORT, "GET", "/state")[1])
+
+
+class OwnerGone(unittest.TestCase):
+    def test_a_key_whose_owner_died_is_unknown_and_not_run_again(self):
+        with Fleet(nodes=3) as running:
+            _, body = call(NODE_PORT, "GET", "/.siskinstage/v1/entries"
+                           "?service=allocation&account=a")
+            entries = json.loads(body)
+            owner = int(entries["entries"][0]["address"].split(":")[1])
+            key = entries["key_prefix"] + ".sale-2"
+            headers = {"Idempotency-Key": key}
+            call(owner, "POST", "/allocations/1", "lot", 10, headers)
+            name = f"node-{owner - NODE_PORT}"
+            running.signal(name, signal.SIGKILL)
+            running.processes[name].wait()
+            other = NODE_PORT + (owner - NODE_PORT + 1) % 3
+            status, body = call(other, "POST", "/allocations/1", "lot", 10,
+                                headers)
+            self.assertEqual(status, 502)
+            self.assertEqual(json.loads(body)["outcome"], "unknown")
+            running.start_node(owner - NODE_PORT)
+            running.await_ready([owner - NODE_PORT])
+            status, body = call(owner, "POST", "/allocations/1", "lot", 10,
+                                headers)
+            self.assertEqual(json.loads(body)["outcome"], "unknown")
+            self.assertEqual(running.ledger()[key], 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/property/floor_property_test.cpp
@@ -0,0 +1,148 @@
+#include "core/floor.h"
+#include "core/service_health.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace siskinstage {
+namespace {
+
+std::vector<EjectionWish> anyWishes() {
+  return *rc::gen::container<std::vector<EjectionWish>>(rc::gen::build(
+      rc::gen::construct<EjectionWish>(),
+      rc::gen::set(
+          &EjectionWish::Capacity,
+          rc::gen::map(rc::gen::inRange<std::uint32_t>(1, 9),
+                       [](std::uint32_t Count) { return Slots{Count}; })),
+      rc::gen::set(&EjectionWish::Leaving), rc::gen::set(&EjectionWish::Eject),
+      rc::gen::set(&EjectionWish::Sickness,
+                   rc::gen::map(rc::gen::inRange(0, 100),
+                                [](int Value) { return Value / 10.0; }))));
+}
+
+RC_GTEST_PROP(FloorProperty, EjectionsNeverGoBelowTheFloor, ()) {
+  const auto Wishes = anyWishes();
+  const double Floor = *rc::gen::inRange(0, 101) / 100.0;
+  const auto Admitted = admitAboveFloor(Wishes, Floor);
+  double Total = 0;
+  double Staying = 0;
+  double In = 0;
+  for (std::size_t I = 0; I < Wishes.size(); ++I) {
+    Total += Wishes[I].Capacity.Value;
+    Staying += Wishes[I].Leaving ? 0 : Wishes[I].Capacity.Value;
+    In += Admitted[I] ? Wishes[I].Capacity.Value : 0;
+    RC_ASSERT(!(Wishes[I].Leaving && Admitted[I]));
+    RC_ASSERT(Wishes[I].Leaving || Wishes[I].Eject || Admitted[I]);
+  }
+  RC_ASSERT(In >= Floor * Total || In == Staying);
+}
+
+RC_GTEST_PROP(FloorProperty, KeepsTheLeastSickIn, ()) {
+  const auto Wishes = anyWishes();
+  const auto Admitted = admitAboveFloor(Wishes, 0.5);
+  for (std::size_t I = 0; I < Wishes.size(); ++I)
+    for (std::size_t J = 0; J < Wishes.size(); ++J)
+      if (Wishes[I].Eject && Wishes[J].Eject && !Wishes[I].Leaving &&
+          !Wishes[J].Leaving && Admitted[I] && !Admitted[J])
+        RC_ASSERT(Wishes[I].Sickness <= Wishes[J].Sickness);
+}
+
+ServiceRecord service(int Count, DetectionPreference Preference) {
+  ServiceRecord Record;
+  Record.Name = ServiceName("s");
+  Record.Detection = Preference;
+  for (int I = 0; I < Count; ++I)
+    Record.Targets.push_back(
+        {TargetId("t" + std::to_string(I)), Address("10.0.0.1:80"), {}});
+  return Record;
+}
+
+RC_GTEST_PROP(ServiceHealthProperty, AdmittedCapacityKeepsTheFloor, ()) {
+  ServiceHealth Health;
+  const ServiceRecord Record = service(10, DetectionPreference::Fast);
+  Health.configure(Record);
+  Instant Now;
+  const int Steps = *rc::gen::inRange(1, 400);
+  for (int I = 0; I < Steps; ++I) {
+    const int Target = *rc::gen::inRange(0, 10);
+    const auto What = *rc::gen::element(
+        Evidence::Success, Evidence::Failure, Evidence::Timeout,
+        Evidence::ConnectFailed, Evidence::Shed);
+    Now += std::chrono::milliseconds(*rc::gen::inRange(0, 200));
+    Health.observe({Record.Name, TargetId("t" + std::to_string(Target)), What,
+                    std::chrono::milliseconds(300), Now, false});
+    int Admitted = 0;
+    for (const TargetVerdict &Verdict : Health.decide(Now))
+      Admitted += Verdict.Admitted ? 1 : 0;
+    RC_ASSERT(Admitted >= 5);
+  }
+}
+
+void observe(ServiceHealth &Health, Evidence What, Instant At, int Count) {
+  for (int I = 0; I < Count; ++I)
+    Health.observe({ServiceName("s"), TargetId("t0"), What,
+                    std::chrono::milliseconds(300), At, false});
+}
+
+TEST(ServiceHealth, EjectsAndBringsBackWithARamp) {
+  ServiceHealth Health;
+  Health.configure(service(10, DetectionPreference::Fast));
+  Instant Now;
+  observe(Health, Evidence::Failure, Now, 3);
+  EXPECT_FALSE(Health.decide(Now)[0].Admitted);
+  Now += std::chrono::seconds(3);
+  const auto Back = Health.decide(Now);
+  EXPECT_TRUE(Back[0].Admitted);
+  EXPECT_LT(Back[0].Share, 0.5);
+  Now += std::chrono::seconds(6);
+  EXPECT_EQ(Health.decide(Now)[0].Share, 1.0);
+}
+
+TEST(ServiceHealth, FlappingLengthensTheEjection) {
+  ServiceHealth Health;
+  Health.configure(service(10, DetectionPreference::Fast));
+  Instant Now;
+  Duration Before{};
+  for (int Round = 0; Round < 4; ++Round) {
+    observe(Health, Evidence::Failure, Now, 3);
+    const Instant Out = Now;
+    while (!Health.decide(Now)[0].Admitted)
+      Now += std::chrono::milliseconds(100);
+    EXPECT_GT(Now - Out, Before);
+    Before = Now - Out;
+  }
+}
+
+TEST(ServiceHealth, ProbesAloneProveNoHealth) {
+  ServiceHealth Health;
+  Health.configure(service(10, DetectionPreference::Fast));
+  Instant Now;
+  for (int I = 0; I < 3; ++I) {
+    observe(Health, Evidence::Failure, Now, 1);
+    Health.observe({ServiceName("s"), TargetId("t0"), Evidence::Success,
+                    std::chrono::milliseconds(1), Now, true});
+  }
+  EXPECT_FALSE(Health.decide(Now)[0].Admitted);
+}
+
+TEST(ServiceHealth, AHurriedCallerDoesNotBlameTheTarget) {
+  ServiceHealth Health;
+  Health.configure(service(10, DetectionPreference::Fast));
+  for (int I = 0; I < 20; ++I)
+    Health.observe({ServiceName("s"), TargetId("t0"), Evidence::Timeout,
+                    std::chrono::milliseconds(5), Instant{}, false});
+  EXPECT_TRUE(Health.decide(Instant{})[0].Admitted);
+}
+
+TEST(ServiceHealth, ALeavingTargetGetsNothing) {
+  ServiceHealth Health;
+  Health.configure(service(10, DetectionPreference::Careful));
+  observe(Health, Evidence::Leaving, Instant{}, 1);
+  EXPECT_FALSE(Health.decide(Instant{})[0].Admitted);
+  Health.setListedLeaving({Address("10.0.0.1:80")});
+  for (const TargetVerdict &Verdict : Health.decide(Instant{}))
+    EXPECT_FALSE(Verdict.Admitted);
+}
+
+} // namespace
+} // namespace siskinstage
--- /dev/null
+++ b/tests/property/key_table_property_test.cpp
@@ -0,0 +1,120 @@
+#include "core/key_table.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <rapidcheck/gtest.h>
+#include <set>
+
+namespace siskinstage {
+namespace {
+
+/// Drives a small table with random events and checks, after each, that no key
+/// is dispatched twice and that nothing told as not run is dispatched later.
+class KeyTableDriver {
+public:
+  KeyTableDriver()
+      : Table({6, 1000, 100, std::chrono::seconds(10), 1}, this->Now) {}
+
+  void step() {
+    const auto Key = "key" + std::to_string(*rc::gen::inRange(0, 12));
+    switch (*rc::gen::inRange(0, 8)) {
+    case 0:
+    case 1:
+      this->claim(Key);
+      break;
+    case 2:
+    case 3:
+      this->dispatch(Key);
+      break;
+    case 4:
+      this->Table.endAnswered(Key, std::make_shared<StoredAnswer>());
+      break;
+    case 5:
+      this->Table.endUncertain(Key);
+      break;
+    case 6:
+      this->endNotRun(Key);
+      break;
+    default:
+      this->Now += std::chrono::seconds(*rc::gen::inRange(0, 8));
+    }
+  }
+
+private:
+  Instant Now;
+  KeyTable Table;
+  std::map<std::string, KeyEpoch> EpochOf;
+  std::set<std::string> Dispatched;
+  std::set<std::string> ToldNotRun;
+
+  void claim(const std::string &Key) {
+    // A caller keeps the prefix that it got first.
+    const auto Epoch = this->Table.epochForNewKeys(this->Now);
+    if (Epoch)
+      this->EpochOf.try_emplace(Key, *Epoch);
+    if (this->EpochOf.count(Key) == 0)
+      return;
+    const auto Claimed =
+        this->Table.claim(this->EpochOf[Key], Key, Fingerprint{1}, this->Now);
+    if (Claimed == KeyTable::Claim::Sealed) {
+      RC_ASSERT(this->Dispatched.count(Key) == 0);
+      this->ToldNotRun.insert(Key);
+    }
+  }
+
+  void dispatch(const std::string &Key) {
+    if (!this->Table.beginDispatch(Key))
+      return;
+    RC_ASSERT(this->Dispatched.count(Key) == 0);
+    RC_ASSERT(this->ToldNotRun.count(Key) == 0);
+    if (*rc::gen::inRange(0, 3) == 0) {
+      this->Table.retractDispatch(Key);
+      return;
+    }
+    this->Dispatched.insert(Key);
+  }
+
+  void endNotRun(const std::string &Key) {
+    this->Table.endNotRun(Key);
+    const auto View = this->Table.look(Key);
+    if (!View || View->Now != KeyTable::State::NotRun)
+      return;
+    RC_ASSERT(this->Dispatched.count(Key) == 0);
+    this->ToldNotRun.insert(Key);
+  }
+};
+
+RC_GTEST_PROP(KeyTableProperty, DispatchesEachKeyAtMostOnce, ()) {
+  KeyTableDriver Driver;
+  for (int I = 0; I < 300; ++I)
+    Driver.step();
+}
+
+TEST(KeyTable, GivesAResendTheFirstAnswer) {
+  KeyTable Table({10, 1000, 500, std::chrono::seconds(10), 1}, Instant{});
+  const KeyEpoch Epoch = *Table.epochForNewKeys(Instant{});
+  EXPECT_EQ(Table.claim(Epoch, "k", {1}, Instant{}), KeyTable::Claim::New);
+  EXPECT_EQ(Table.claim(Epoch, "k", {1}, Instant{}), KeyTable::Claim::Joined);
+  EXPECT_EQ(Table.claim(Epoch, "k", {2}, Instant{}), KeyTable::Claim::Mismatch);
+  ASSERT_TRUE(Table.beginDispatch("k"));
+  EXPECT_FALSE(Table.beginDispatch("k"));
+  Table.endAnswered(
+      "k", std::make_shared<StoredAnswer>(StoredAnswer{200, "OK", {}, "sold"}));
+  EXPECT_EQ(Table.claim(Epoch, "k", {1}, Instant{}), KeyTable::Claim::Ended);
+  EXPECT_EQ(Table.look("k")->Answer->Body, "sold");
+}
+
+TEST(KeyTable, ForgetsAKeyOnlyWithItsEpoch) {
+  KeyTable Table({10, 1000, 500, std::chrono::seconds(10), 1}, Instant{});
+  const KeyEpoch Epoch = *Table.epochForNewKeys(Instant{});
+  Table.claim(Epoch, "k", {1}, Instant{});
+  Table.endNotRun("k");
+  const auto At = [](int Seconds) {
+    return Instant(std::chrono::seconds(Seconds));
+  };
+  EXPECT_EQ(Table.claim(Epoch, "k", {1}, At(15)), KeyTable::Claim::Ended);
+  EXPECT_EQ(Table.claim(Epoch, "k", {1}, At(40)), KeyTable::Claim::Expired);
+}
+
+} // namespace
+} // namespace siskinstage
