--- a/src/net/wire.cpp
+++ b/src/net/wire.cpp
@@ -134,7 +134,9 @@
       Taken =
           this->Socket.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
     } catch (const Poco::Exception &Fault) {
-      return fault(WireFault::Kind::Broken, Fault.displayText());
+      // A full send buffer is an exception to POCO, here it is a wait.
+      if (Fault.code() != EAGAIN && Fault.code() != EWOULDBLOCK)
+        return fault(WireFault::Kind::Broken, Fault.displayText());
     }
     if (Taken > 0) {
       Sent += static_cast<std::size_t>(Taken);
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -265,7 +265,10 @@
       return CallerGone{};
     if (!this->retry(Failed.Attempt))
       return this->giveUp(Target, Failed);
-    backOff(this->Attempts, this->Order.Deadline);
+    // A first refusal says nothing of the other targets: no wait for them.
+    const bool Proved = provedBy(Failed.Attempt) == Outcome::NotRun;
+    if (this->Attempts > 1 || !Proved)
+      backOff(this->Attempts, this->Order.Deadline);
   }
 }
 
--- /dev/null
+++ b/src/node/explain_page.h
@@ -0,0 +1,20 @@
+#ifndef SISKINSTAGE_NODE_EXPLAIN_PAGE_H
+#define SISKINSTAGE_NODE_EXPLAIN_PAGE_H
+
+#include <json/value.h>
+#include <map>
+#include <string>
+
+namespace siskinstage {
+
+struct NodeContext;
+
+/// Says where a request would go and why: its route, service, repeatability
+/// and the targets that may take it.
+/// \param Query host, path and method of the request.
+Json::Value explainRequest(NodeContext &Context,
+                           const std::map<std::string, std::string> &Query);
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NODE_EXPLAIN_PAGE_H
--- a/src/node/operator_server.cpp
+++ b/src/node/operator_server.cpp
@@ -1,4 +1,5 @@
 #include "node/operator_server.h"
+#include "node/explain_page.h"
 #include "node/node_context.h"
 #include "node/snapshot.h"
 #include "node/state_dump.h"
@@ -9,6 +10,7 @@
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/URI.h>
 #include <json/writer.h>
 
 namespace siskinstage {
@@ -26,11 +28,18 @@
   std::string Text;
 };
 
-Page statePage(NodeContext &Context) {
+Page jsonPage(const Json::Value &Value) {
   Json::StreamWriterBuilder Writer;
   Writer["indentation"] = "  ";
   return {HTTPResponse::HTTP_OK, "application/json",
-          Json::writeString(Writer, stateDump(Context)) + "\n"};
+          Json::writeString(Writer, Value) + "\n"};
+}
+
+Page explainPage(NodeContext &Context, const Poco::URI &Asked) {
+  std::map<std::string, std::string> Query;
+  for (const auto &[Name, Value] : Asked.getQueryParameters())
+    Query[Name] = Value;
+  return jsonPage(explainRequest(Context, Query));
 }
 
 Page metricsPage(NodeContext &Context) {
@@ -51,7 +60,8 @@
           Draining ? "draining\n" : "no configuration yet\n"};
 }
 
-Page pageFor(NodeContext &Context, const std::string &Path) {
+Page pageFor(NodeContext &Context, const Poco::URI &Asked) {
+  const std::string Path = Asked.getPath();
   if (Path == "/healthz")
     return {HTTPResponse::HTTP_OK, "text/plain", "ok\n"};
   if (Path == "/readyz")
@@ -59,9 +69,11 @@
   if (Path == "/metrics")
     return metricsPage(Context);
   if (Path == "/state")
-    return statePage(Context);
+    return jsonPage(stateDump(Context));
+  if (Path == "/explain")
+    return explainPage(Context, Asked);
   return {HTTPResponse::HTTP_NOT_FOUND, "text/plain",
-          "pages are /healthz, /readyz, /metrics and /state\n"};
+          "pages are /healthz, /readyz, /metrics, /state and /explain\n"};
 }
 
 /// Answers one request of an operator.
@@ -70,9 +82,7 @@
   explicit Handler(NodeContext &Context) : Context(Context) {}
   void handleRequest(Poco::Net::HTTPServerRequest &Request,
                      Poco::Net::HTTPServerResponse &Response) override {
-    const std::string &Target = Request.getURI();
-    const Page Shown =
-        pageFor(this->Context, Target.substr(0, Target.find('?')));
+    const Page Shown = pageFor(this->Context, Poco::URI(Request.getURI()));
     Response.setStatusAndReason(Shown.Status);
     Response.setContentType(Shown.Type);
     Response.sendBuffer(Shown.Text.data(), Shown.Text.size());
--- a/src/node/state_dump.cpp
+++ b/src/node/state_dump.cpp
@@ -30,6 +30,8 @@
   return Dump;
 }
 
+} // namespace
+
 Json::Value serviceDump(const ServiceView &Service) {
   const ServiceGate::Stats Gate = Service.Gate->stats();
   Json::Value Dump(Json::objectValue);
@@ -50,6 +52,8 @@
   return Dump;
 }
 
+namespace {
+
 Json::Value nodeDump(NodeContext &Context) {
   Json::Value Dump(Json::objectValue);
   Dump["id"] = Context.Set.Id.str();
--- /dev/null
+++ b/tests/unit/wire_test.cpp
@@ -0,0 +1,70 @@
+#include "net/boot_time.h"
+#include "net/wire.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <chrono>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace siskinstage {
+namespace {
+
+/// Two ends of one loopback connection.
+struct WirePair {
+  WirePair()
+      : Listener(Poco::Net::SocketAddress("127.0.0.1:0")),
+        Near(*Wire::connect(Address(this->Listener.address().toString()),
+                            bootNow() + std::chrono::seconds(5))),
+        Far(this->Listener.acceptConnection()) {}
+  Poco::Net::ServerSocket Listener;
+  Wire Near;
+  Wire Far;
+};
+
+// A write into a full send buffer once ended the upload as if the peer had
+// gone.
+TEST(Wire, WaitsWhileTheSendBufferIsFull) {
+  WirePair Pair;
+  const std::string Sent(16U * 1024 * 1024, 'x');
+  std::size_t Received = 0;
+  std::thread Reader([&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    while (Received < Sent.size()) {
+      const auto Got = Pair.Far.fill(bootNow() + std::chrono::seconds(20));
+      if (!Got)
+        return;
+      Received += *Got;
+      Pair.Far.consume(*Got);
+    }
+  });
+  const auto Written =
+      Pair.Near.write(Sent, bootNow() + std::chrono::seconds(20));
+  Reader.join();
+  EXPECT_TRUE(Written);
+  EXPECT_EQ(Received, Sent.size());
+}
+
+TEST(Wire, TellsATimeoutFromAnEnd) {
+  WirePair Pair;
+  const auto Late = Pair.Far.fill(bootNow() + std::chrono::milliseconds(10));
+  ASSERT_FALSE(Late);
+  EXPECT_EQ(Late.error().What, WireFault::Kind::Timeout);
+  Pair.Near.close();
+  const auto End = Pair.Far.fill(bootNow() + std::chrono::seconds(5));
+  ASSERT_FALSE(End);
+  EXPECT_EQ(End.error().What, WireFault::Kind::Closed);
+}
+
+TEST(Wire, StopsWaitingWhenTheWatchedPeerGoes) {
+  WirePair Pair;
+  WirePair Watched;
+  Watched.Near.close();
+  const auto Ended =
+      Pair.Far.fill(bootNow() + std::chrono::seconds(5), &Watched.Far);
+  ASSERT_FALSE(Ended);
+  EXPECT_EQ(Ended.error().What, WireFault::Kind::Cancelled);
+}
+
+} // namespace
+} // namespace siskinstage
