--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -107,6 +107,46 @@
 inline constexpr std::chrono::milliseconds PlatformCallTimeout = 3s;
 inline constexpr std::size_t MaxRecordBytes = 1024 * 1024;
 
+// Membership.
+inline constexpr std::chrono::milliseconds GossipPeriod = 1s;
+inline constexpr std::chrono::milliseconds GossipAckTimeout = 300ms;
+inline constexpr std::chrono::milliseconds GossipTick = 50ms;
+inline constexpr std::size_t GossipIndirectProbes = 3;
+inline constexpr std::size_t GossipUpdatesPerMessage = 4;
+/// Each piece of news is sent this many times the logarithm of the members.
+inline constexpr int GossipRepeats = 4;
+/// A suspicion lasts at least this many periods times that logarithm.
+inline constexpr double SuspicionFactor = 2.0;
+inline constexpr int SuspicionStretch = 3;
+inline constexpr int SuspicionConfirmations = 3;
+inline constexpr int MaxSlowness = 4;
+inline constexpr std::size_t FarewellMessages = 8;
+inline constexpr std::chrono::milliseconds DeadMemberMemory = 600s;
+inline constexpr std::size_t MaxDatagramBytes = 1400;
+/// A datagram whose time stamp is further off than this is refused.
+inline constexpr std::chrono::milliseconds GossipClockTolerance = 60s;
+inline constexpr std::size_t MaxReplaySenders = 20'000;
+/// A whole table of members is asked for at most once in this time, and at most
+/// once in the time for each member.
+inline constexpr std::chrono::milliseconds MemberSyncPeriod = 10s;
+inline constexpr std::chrono::milliseconds MemberSyncPerMember = 100ms;
+
+// Configuration between nodes.
+inline constexpr std::size_t WatchersPerDomain = 2;
+inline constexpr std::size_t NewsFanout = 4;
+inline constexpr std::size_t MaxInlineRecordBytes = 700;
+inline constexpr std::chrono::milliseconds RecordSyncPeriod = 1s;
+inline constexpr std::size_t DigestBuckets = 256;
+inline constexpr std::chrono::milliseconds PeerCallTimeout = 2s;
+/// A node that has compared with peers in this many failure domains knows
+/// enough to serve.
+inline constexpr std::size_t ReadyDomains = 2;
+
+// Reports of targets between nodes.
+inline constexpr std::chrono::milliseconds ReportMemory = 10s;
+inline constexpr std::size_t FastReporters = 2;
+inline constexpr std::size_t CarefulReporters = 3;
+
 // Shutdown.
 inline constexpr std::chrono::milliseconds ShutdownNotice = 500ms;
 inline constexpr std::chrono::milliseconds ShutdownLimit = 60s;
--- /dev/null
+++ b/src/core/member.cpp
@@ -0,0 +1,28 @@
+#include "core/member.h"
+
+namespace siskinstage {
+
+const char *memberStateName(MemberState State) {
+  switch (State) {
+  case MemberState::Alive:
+    return "alive";
+  case MemberState::Suspect:
+    return "suspect";
+  case MemberState::Dead:
+    return "dead";
+  case MemberState::Left:
+    return "left";
+  }
+  return "unknown-state";
+}
+
+bool overrides(const Member &New, const Member &Old) {
+  if (New.Lives != Old.Lives)
+    return New.Lives > Old.Lives;
+  if (New.State != Old.State)
+    return New.State > Old.State;
+  // Two processes of one life: all members must settle on the same one.
+  return New.Process > Old.Process;
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/core/member.h
@@ -0,0 +1,43 @@
+#ifndef SISKINSTAGE_CORE_MEMBER_H
+#define SISKINSTAGE_CORE_MEMBER_H
+
+#include "siskinstage/strong_id.h"
+#include "siskinstage/units.h"
+
+#include <compare>
+#include <cstdint>
+
+namespace siskinstage {
+
+/// How a member is believed to be. A higher one overrides a lower one of the
+/// same life.
+enum class MemberState { Alive, Suspect, Dead, Left };
+
+const char *memberStateName(MemberState State);
+
+/// Number by which a member outdoes older claims about its address: a new
+/// process, or one that refutes a suspicion, takes a higher one.
+struct Life {
+  std::uint64_t Value = 0;
+  auto operator<=>(const Life &) const = default;
+};
+
+/// One member of the fleet, as gossip carries it. Its address tells it apart.
+struct Member {
+  Address Where; ///< Callers' port over TCP, gossip over UDP.
+  NodeId Id;
+  FailureDomain Domain;
+  Incarnation Process;
+  Life Lives;
+  MemberState State = MemberState::Alive;
+  /// Of a suspicion: who began it or found the same on its own.
+  Address SuspectedBy;
+  bool operator==(const Member &) const = default;
+};
+
+/// Whether a claim \p New about a member overrides what is known as \p Old.
+bool overrides(const Member &New, const Member &Old);
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_CORE_MEMBER_H
