--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -74,14 +74,17 @@
 
 // Health of targets, local evidence.
 inline constexpr std::size_t HealthWindow = 32;
-inline constexpr int FastConsecutiveFailures = 3;
-inline constexpr int CarefulConsecutiveFailures = 5;
+inline constexpr std::uint32_t FastConsecutiveFailures = 3;
+inline constexpr std::uint32_t CarefulConsecutiveFailures = 5;
 inline constexpr double FastFailureFraction = 0.3;
 inline constexpr double CarefulFailureFraction = 0.5;
 inline constexpr std::size_t MinWindowSamples = 8;
-inline constexpr double SlowFactorFast = 5.0;
-inline constexpr double SlowFactorCareful = 8.0;
-inline constexpr std::chrono::milliseconds SlowMinimum = 100ms;
+/// A work is slow from this many times the service's high latency on.
+inline constexpr double SlowFactorFast = 3.0;
+inline constexpr double SlowFactorCareful = 5.0;
+inline constexpr std::chrono::milliseconds SlowMinimum = 50ms;
+/// A request that waits for so long counts as a failure before its end.
+inline constexpr std::chrono::milliseconds OverdueMinimum = 300ms;
 /// A time-out says something of a target only after it had this long.
 inline constexpr std::chrono::milliseconds TimeoutEvidenceMinimum = 200ms;
 /// A target stays marked as leaving for this long after its last such sign.
@@ -104,6 +107,10 @@
 inline constexpr std::chrono::milliseconds PlatformRetryBase = 200ms;
 inline constexpr std::chrono::milliseconds PlatformRetryCap = 5s;
 inline constexpr std::chrono::milliseconds InstanceListPeriod = 1s;
+/// Nodes that are no watchers read the instance list this seldom, and more
+/// seldom by the number of members.
+inline constexpr std::chrono::milliseconds InstanceListRest = 60s;
+inline constexpr std::chrono::milliseconds InstanceListPerMember = 50ms;
 inline constexpr std::chrono::milliseconds PlatformCallTimeout = 3s;
 inline constexpr std::size_t MaxRecordBytes = 1024 * 1024;
 
@@ -143,9 +150,12 @@
 inline constexpr std::size_t ReadyDomains = 2;
 
 // Reports of targets between nodes.
-inline constexpr std::chrono::milliseconds ReportMemory = 10s;
+inline constexpr std::chrono::milliseconds ReportMemory = 3s;
+inline constexpr std::chrono::milliseconds ReportGap = 50ms;
 inline constexpr std::size_t FastReporters = 2;
 inline constexpr std::size_t CarefulReporters = 3;
+/// A report that a target can't be reached counts from so many failure domains.
+inline constexpr std::size_t UnreachableDomains = 2;
 
 // Shutdown.
 inline constexpr std::chrono::milliseconds ShutdownNotice = 500ms;
--- a/include/siskinstage/record.h
+++ b/include/siskinstage/record.h
@@ -7,6 +7,7 @@
 #include "siskinstage/service_record.h"
 #include "siskinstage/units.h"
 
+#include <memory>
 #include <string>
 #include <variant>
 
@@ -40,6 +41,8 @@
   RecordKey Key;
   Revision Rev;
   RecordBody Body;
+  /// The record as it was written, in its own schema.
+  std::shared_ptr<const std::string> Text;
 };
 
 } // namespace siskinstage
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -90,9 +90,9 @@
         try:
             self.start_targets()
             self.start_platform()
+            self.publish_instances()
             for index in range(self.node_count):
                 self.start_node(index)
-            self.publish_instances()
             self.await_ready(range(self.node_count))
         except BaseException:
             self.stop()
@@ -249,8 +249,11 @@
         for index in indexes:
             wait_for(lambda: self.ready(index), READY_SECONDS,
                      f"node {index} being ready")
-            wait_for(lambda: len(self.state(index)["members"]) > 0,
-                     READY_SECONDS, f"node {index} seeing the instance list")
+        running = sum(1 for name, process in self.processes.items()
+                      if name.startswith("node-") and process.poll() is None)
+        for index in indexes:
+            wait_for(lambda: self.state(index)["gossip"]["live"] >= running,
+                     READY_SECONDS, f"node {index} seeing {running} members")
 
     def state(self, index):
         return json.loads(call(OPERATOR_PORT + index, "GET", "/state")[1])
--- /dev/null
+++ b/src/core/gossip_codec.cpp
@@ -0,0 +1,197 @@
+#include "core/gossip_codec.h"
+#include "core/address.h"
+#include "core/record_parser.h"
+
+#include <array>
+#include <optional>
+
+namespace siskinstage {
+
+namespace {
+
+constexpr std::size_t MaxNameBytes = 200;
+constexpr std::size_t MaxUpdates = 64;
+constexpr Json::ArrayIndex MemberFields = 7;
+
+tl::unexpected<Error> bad(const std::string &Field) {
+  return fail(Step::Forward, "gossip", "field " + Field + " is malformed");
+}
+
+Json::Value number(std::uint64_t Value) {
+  return Json::Value(static_cast<Json::UInt64>(Value));
+}
+
+bool isText(const Json::Value &Value) {
+  return Value.isString() && Value.asString().size() <= MaxNameBytes;
+}
+
+bool isAddress(const Json::Value &Value) {
+  return isText(Value) && parseAddress(Value.asString()).has_value();
+}
+
+/// Writes the kind and the fields of a body.
+struct BodyWriter {
+  Json::Value &Into;
+
+  void operator()(const Ping &Body) const {
+    this->Into["k"] = "ping";
+    this->Into["s"] = number(Body.Sequence);
+  }
+  void operator()(const PingRequest &Body) const {
+    this->Into["k"] = "request";
+    this->Into["s"] = number(Body.Sequence);
+    this->Into["t"] = Body.Target.str();
+  }
+  void operator()(const Ack &Body) const {
+    this->Into["k"] = "ack";
+    this->Into["s"] = number(Body.Sequence);
+  }
+  void operator()(const RecordNews &Body) const {
+    this->Into["k"] = "record";
+    this->Into["c"] = static_cast<int>(Body.Key.Kind);
+    this->Into["n"] = Body.Key.Name;
+    this->Into["r"] = number(Body.Rev.Value);
+    this->Into["x"] = Body.Text;
+  }
+  void operator()(const TargetReport &Body) const {
+    this->Into["k"] = "target";
+    this->Into["v"] = Body.Service.str();
+    this->Into["t"] = Body.Target.str();
+    this->Into["w"] = static_cast<int>(Body.What);
+    this->Into["s"] = Body.Streak;
+  }
+};
+
+Result<GossipBody> readRecordNews(const Json::Value &Value) {
+  constexpr int Kinds = static_cast<int>(RecordKind::Fleet) + 1;
+  if (!Value["c"].isInt() || Value["c"].asInt() < 0 ||
+      Value["c"].asInt() >= Kinds)
+    return bad("c");
+  if (!isText(Value["n"]))
+    return bad("n");
+  if (!Value["r"].isUInt64())
+    return bad("r");
+  if (!Value["x"].isString())
+    return bad("x");
+  return RecordNews{
+      {static_cast<RecordKind>(Value["c"].asInt()), Value["n"].asString()},
+      {Value["r"].asUInt64()},
+      Value["x"].asString()};
+}
+
+Result<GossipBody> readTargetReport(const Json::Value &Value) {
+  constexpr int Kinds = static_cast<int>(ReportKind::Leaving) + 1;
+  if (!isText(Value["v"]))
+    return bad("v");
+  if (!isText(Value["t"]))
+    return bad("t");
+  if (!Value["w"].isInt() || Value["w"].asInt() < 0 ||
+      Value["w"].asInt() >= Kinds)
+    return bad("w");
+  if (!Value["s"].isUInt())
+    return bad("s");
+  return TargetReport{
+      ServiceName(Value["v"].asString()), TargetId(Value["t"].asString()),
+      static_cast<ReportKind>(Value["w"].asInt()), Value["s"].asUInt()};
+}
+
+Result<GossipBody> readBody(const Json::Value &Value) {
+  if (!isText(Value["k"]))
+    return bad("k");
+  const std::string Kind = Value["k"].asString();
+  if (Kind == "record")
+    return readRecordNews(Value);
+  if (Kind == "target")
+    return readTargetReport(Value);
+  if (!Value["s"].isUInt64())
+    return bad("s");
+  const std::uint64_t Sequence = Value["s"].asUInt64();
+  if (Kind == "ping")
+    return Ping{Sequence};
+  if (Kind == "ack")
+    return Ack{Sequence};
+  if (Kind != "request")
+    return bad("k");
+  if (!isAddress(Value["t"]))
+    return bad("t");
+  return PingRequest{Sequence, Address(Value["t"].asString())};
+}
+
+} // namespace
+
+Json::Value encodeMember(const Member &Each) {
+  Json::Value Value(Json::arrayValue);
+  Value.append(Each.Where.str());
+  Value.append(Each.Id.str());
+  Value.append(Each.Domain.str());
+  Value.append(number(Each.Process.Value));
+  Value.append(number(Each.Lives.Value));
+  Value.append(static_cast<int>(Each.State));
+  Value.append(Each.SuspectedBy.str());
+  return Value;
+}
+
+Result<Member> decodeMember(const Json::Value &Value) {
+  if (!Value.isArray() || Value.size() != MemberFields)
+    return bad("member");
+  if (!isAddress(Value[0]))
+    return bad("member address");
+  if (!isText(Value[1]) || !isText(Value[2]) || !isText(Value[6]))
+    return bad("member names");
+  if (!Value[3].isUInt64() || !Value[4].isUInt64())
+    return bad("member numbers");
+  if (!Value[5].isInt() || Value[5].asInt() < 0 ||
+      Value[5].asInt() > static_cast<int>(MemberState::Left))
+    return bad("member state");
+  return Member{Address(Value[0].asString()),
+                NodeId(Value[1].asString()),
+                FailureDomain(Value[2].asString()),
+                {Value[3].asUInt64()},
+                {Value[4].asUInt64()},
+                static_cast<MemberState>(Value[5].asInt()),
+                Address(Value[6].asString())};
+}
+
+Json::Value encodeGossip(const GossipMessage &Message) {
+  Json::Value Value(Json::objectValue);
+  Value["f"] = encodeMember(Message.From);
+  std::visit(BodyWriter{Value}, Message.Body);
+  if (!Message.Updates.empty()) {
+    Json::Value &Updates = Value["u"] = Json::Value(Json::arrayValue);
+    for (const Member &Each : Message.Updates)
+      Updates.append(encodeMember(Each));
+  }
+  Value["d"] = number(Message.RecordsDigest);
+  Value["m"] = number(Message.MembersDigest);
+  return Value;
+}
+
+Result<GossipMessage> decodeGossip(const Json::Value &Value) {
+  if (!Value.isObject())
+    return bad("(message)");
+  GossipMessage Message;
+  auto From = decodeMember(Value["f"]);
+  if (!From)
+    return tl::unexpected<Error>(From.error());
+  Message.From = std::move(*From);
+  auto Body = readBody(Value);
+  if (!Body)
+    return tl::unexpected<Error>(Body.error());
+  Message.Body = std::move(*Body);
+  const Json::Value &Updates = Value["u"];
+  if (!Updates.isNull() && (!Updates.isArray() || Updates.size() > MaxUpdates))
+    return bad("u");
+  for (const Json::Value &Each : Updates) {
+    auto Update = decodeMember(Each);
+    if (!Update)
+      return tl::unexpected<Error>(Update.error());
+    Message.Updates.push_back(std::move(*Update));
+  }
+  if (!Value["d"].isUInt64() || !Value["m"].isUInt64())
+    return bad("digest");
+  Message.RecordsDigest = Value["d"].asUInt64();
+  Message.MembersDigest = Value["m"].asUInt64();
+  return Message;
+}
+
+} // namespace siskinstage
--- a/src/core/gossip_message.h
+++ b/src/core/gossip_message.h
@@ -2,6 +2,7 @@
 #define SISKINSTAGE_CORE_GOSSIP_MESSAGE_H
 
 #include "core/member.h"
+#include "core/report_kind.h"
 #include "siskinstage/record.h"
 #include "siskinstage/units.h"
 
@@ -35,18 +36,13 @@
   std::string Text; ///< The record as JSON if it is short, else empty.
 };
 
-/// What a node reports of a target to the others of its service's group.
-enum class ReportKind {
-  Failing,     ///< It ran work and failed, was slow or never answered.
-  Unreachable, ///< It could not be reached from there.
-  Leaving,     ///< It takes no new work.
-};
-
 /// A noteworthy observation of one target.
 struct TargetReport {
   ServiceName Service;
   TargetId Target;
   ReportKind What = ReportKind::Failing;
+  /// Failures seen there since the last success; 0 takes a report back.
+  std::uint32_t Streak = 0;
 };
 
 using GossipBody =
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -102,10 +102,11 @@
     Order.push_back(&Each);
   const std::size_t Count =
       std::min(Order.size(), config::GossipUpdatesPerMessage);
-  std::partial_sort(
-      Order.begin(), Order.begin() + static_cast<std::ptrdiff_t>(Count),
-      Order.end(),
-      [](const News *Left, const News *Right) { return Left->Sent < Right->Sent; });
+  std::partial_sort(Order.begin(),
+                    Order.begin() + static_cast<std::ptrdiff_t>(Count),
+                    Order.end(), [](const News *Left, const News *Right) {
+                      return Left->Sent < Right->Sent;
+                    });
   const int Limit = this->sendLimit();
   std::vector<Address> Spent;
   for (std::size_t I = 0; I < Count; ++I) {
@@ -121,8 +122,8 @@
 // Claims -------------------------------------------------------------------
 
 void Membership::applyAboutSelf(const Member &Claim) {
-  const bool Wrong = Claim.Process != this->Self.Process ||
-                     Claim.State != MemberState::Alive;
+  const bool Wrong =
+      Claim.Process != this->Self.Process || Claim.State != MemberState::Alive;
   const bool Leaving = this->Self.State == MemberState::Left;
   if (!Wrong || Leaving || Claim.Lives < this->Self.Lives)
     return;
@@ -221,8 +222,8 @@
   const Duration Least = std::chrono::duration_cast<Duration>(
       config::GossipPeriod * config::SuspicionFactor *
       std::max(1.0, std::log10(Members)));
-  const Duration Longest = Least * config::SuspicionStretch *
-                           (this->Slowness + 1);
+  const Duration Longest =
+      Least * config::SuspicionStretch * (this->Slowness + 1);
   // Each confirmation takes off a part, fewer by logarithm.
   const double Part = std::log(static_cast<double>(Confirmations) + 1) /
                       std::log(config::SuspicionConfirmations + 1.0);
@@ -306,9 +307,9 @@
     this->Pending->Indirect = true;
     for (const Address &Helper : this->sample(config::GossipIndirectProbes))
       if (Helper != this->Pending->Target)
-        Out.push_back({Helper, this->compose(PingRequest{
-                                   this->Pending->Sequence,
-                                   this->Pending->Target})});
+        Out.push_back(
+            {Helper, this->compose(PingRequest{this->Pending->Sequence,
+                                               this->Pending->Target})});
   }
   if (Waited < config::GossipPeriod * (this->Slowness + 1))
     return;
@@ -367,8 +368,8 @@
 void Membership::answer(const Ack &Given, std::vector<OutgoingGossip> &Out) {
   const auto Relayed = this->Relays.find(Given.Sequence);
   if (Relayed != this->Relays.end()) {
-    Out.push_back({Relayed->second.Asker,
-                   this->compose(Ack{Relayed->second.Sequence})});
+    Out.push_back(
+        {Relayed->second.Asker, this->compose(Ack{Relayed->second.Sequence})});
     this->Relays.erase(Relayed);
     return;
   }
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -61,7 +61,7 @@
   /// What is known of one member.
   struct Known {
     Member Is;
-    Instant Since;               ///< Of the present state.
+    Instant Since; ///< Of the present state.
     Instant SuspectUntil;
     std::set<Address> Confirmed; ///< Who else suspects it.
   };
--- a/src/core/observation.h
+++ b/src/core/observation.h
@@ -13,6 +13,7 @@
   Success,       ///< A whole answer below 500.
   Failure,       ///< An answer of 500 or above, or a broken one.
   Timeout,       ///< No answer in time.
+  Overdue,       ///< Still no answer after much more than the usual time.
   ConnectFailed, ///< The target could not be reached from here.
   Shed,          ///< Refused with a not-run mark; says nothing of health.
   Leaving,       ///< The target said that it takes no new work.
--- /dev/null
+++ b/src/core/peer_report.h
@@ -0,0 +1,23 @@
+#ifndef SISKINSTAGE_CORE_PEER_REPORT_H
+#define SISKINSTAGE_CORE_PEER_REPORT_H
+
+#include "core/report_kind.h"
+#include "siskinstage/strong_id.h"
+#include "siskinstage/units.h"
+
+#include <cstdint>
+
+namespace siskinstage {
+
+/// What another node of the group last reported of one target.
+struct PeerReport {
+  Address From;
+  FailureDomain Domain;
+  ReportKind What = ReportKind::Failing;
+  std::uint32_t Streak = 0;
+  Instant At;
+};
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_CORE_PEER_REPORT_H
--- a/src/core/record_parser.cpp
+++ b/src/core/record_parser.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cctype>
 #include <json/reader.h>
+#include <json/writer.h>
 #include <limits>
 #include <memory>
 #include <set>
@@ -209,8 +210,14 @@
     Read.Body = readBody(Fields, Reading, Read.Key);
   for (const std::string &Field : Fields.unknownFields())
     Reading.Warnings.push_back("unknown field " + Field);
-  if (Reading.Faults.empty())
-    Reading.Accepted = std::move(Read);
+  if (!Reading.Faults.empty())
+    return Reading;
+  Json::StreamWriterBuilder Writer;
+  Writer["indentation"] = "";
+  Writer["commentStyle"] = "None";
+  Read.Text =
+      std::make_shared<const std::string>(Json::writeString(Writer, Value));
+  Reading.Accepted = std::move(Read);
   return Reading;
 }
 
--- a/src/core/record_store.cpp
+++ b/src/core/record_store.cpp
@@ -1,17 +1,46 @@
 #include "core/record_store.h"
 
 #include <algorithm>
+#include <xxhash.h>
 
 namespace siskinstage {
 
+namespace {
+
+std::uint64_t hashOf(const std::string &Text) {
+  return XXH3_64bits(Text.data(), Text.size());
+}
+
+std::size_t bucketOf(const RecordKey &Key) {
+  return hashOf(Key.text()) % config::DigestBuckets;
+}
+
+std::uint64_t digestOf(const Record &Each) {
+  return hashOf(Each.Key.text() + "@" + std::to_string(Each.Rev.Value));
+}
+
+} // namespace
+
+void RecordStore::note(const Record &New, const Record *Old) {
+  const std::size_t Bucket = bucketOf(New.Key);
+  this->Digests[Bucket] ^= digestOf(New);
+  if (Old != nullptr)
+    this->Digests[Bucket] ^= digestOf(*Old);
+  this->Buckets[Bucket].insert(New.Key);
+  this->Highest = std::max(this->Highest, New.Rev);
+}
+
 RecordStore::Adoption RecordStore::adopt(const Record &New) {
   const auto [Found, Inserted] = this->Records.try_emplace(New.Key, New);
-  if (Inserted)
+  if (Inserted) {
+    this->note(New, nullptr);
     return Adoption::Adopted;
+  }
   if (New.Rev == Found->second.Rev)
     return Adoption::Same;
   if (New.Rev < Found->second.Rev)
     return Adoption::Older;
+  this->note(New, &Found->second);
   Found->second = New;
   return Adoption::Adopted;
 }
@@ -25,11 +54,26 @@
   return this->Records;
 }
 
-Revision RecordStore::highest() const {
-  Revision Highest;
-  for (const auto &[Key, Held] : this->Records)
-    Highest = std::max(Highest, Held.Rev);
-  return Highest;
+Revision RecordStore::highest() const { return this->Highest; }
+
+std::uint64_t RecordStore::digest() const {
+  std::uint64_t Digest = 0;
+  for (const std::uint64_t Each : this->Digests)
+    Digest ^= Each;
+  return Digest;
+}
+
+const std::vector<std::uint64_t> &RecordStore::bucketDigests() const {
+  return this->Digests;
+}
+
+std::vector<Record> RecordStore::bucket(std::size_t Number) const {
+  std::vector<Record> Held;
+  if (Number >= this->Buckets.size())
+    return Held;
+  for (const RecordKey &Key : this->Buckets[Number])
+    Held.push_back(this->Records.at(Key));
+  return Held;
 }
 
 } // namespace siskinstage
--- a/src/core/record_store.h
+++ b/src/core/record_store.h
@@ -1,9 +1,13 @@
 #ifndef SISKINSTAGE_CORE_RECORD_STORE_H
 #define SISKINSTAGE_CORE_RECORD_STORE_H
 
+#include "siskinstage/config.h"
 #include "siskinstage/record.h"
 
+#include <cstdint>
 #include <map>
+#include <set>
+#include <vector>
 
 namespace siskinstage {
 
@@ -26,8 +30,21 @@
   /// The highest revision in force.
   [[nodiscard]] Revision highest() const;
 
+  /// Same at two stores that hold the same revisions.
+  [[nodiscard]] std::uint64_t digest() const;
+  /// The same for each bucket of keys.
+  [[nodiscard]] const std::vector<std::uint64_t> &bucketDigests() const;
+  /// The records of one bucket.
+  [[nodiscard]] std::vector<Record> bucket(std::size_t Number) const;
+
 private:
   std::map<RecordKey, Record> Records;
+  std::vector<std::set<RecordKey>> Buckets{config::DigestBuckets};
+  std::vector<std::uint64_t> Digests =
+      std::vector<std::uint64_t>(config::DigestBuckets, 0);
+  Revision Highest;
+
+  void note(const Record &New, const Record *Old);
 };
 
 } // namespace siskinstage
--- a/src/core/service_health.cpp
+++ b/src/core/service_health.cpp
@@ -2,6 +2,7 @@
 #include "core/floor.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace siskinstage {
 
@@ -10,6 +11,16 @@
 /// Fewer targets than this have no usual latency to compare with.
 constexpr std::size_t LeastToCompare = 3;
 
+/// The median of \p Values, zero for too few.
+Duration medianOf(std::vector<Duration> Values) {
+  if (Values.size() < LeastToCompare)
+    return Duration::zero();
+  const auto Middle =
+      Values.begin() + static_cast<std::ptrdiff_t>(Values.size() / 2);
+  std::nth_element(Values.begin(), Middle, Values.end());
+  return *Middle;
+}
+
 } // namespace
 
 void ServiceHealth::configure(const ServiceRecord &New) {
@@ -32,24 +43,40 @@
   if (Found == this->Targets.end())
     return;
   const DetectionLimits Limits = DetectionLimits::of(this->Record.Detection);
-  Found->second.Health.observe(Seen, Limits, this->Typical);
+  Found->second.Health.observe(Seen, Limits, this->Usual);
 }
 
-Duration ServiceHealth::typicalLatency() const {
-  std::vector<Duration> Latencies;
-  for (const auto &[Id, Each] : this->Targets)
+void ServiceHealth::report(const TargetId &Target, const PeerReport &Report) {
+  const auto Found = this->Targets.find(Target);
+  if (Found == this->Targets.end())
+    return;
+  const DetectionLimits Limits = DetectionLimits::of(this->Record.Detection);
+  Found->second.Health.report(Report, Limits, this->OwnDomain);
+  // Everyone has heard of it: it need not be reported from here too.
+  if (Report.What == ReportKind::Leaving)
+    Found->second.ReportedLeaving = true;
+}
+
+void ServiceHealth::updateUsual() {
+  std::vector<Duration> Medians;
+  std::vector<Duration> Highs;
+  for (const auto &[Id, Each] : this->Targets) {
     if (Each.Health.latency() > Duration::zero())
-      Latencies.push_back(Each.Health.latency());
-  if (Latencies.size() < LeastToCompare)
-    return Duration::zero();
-  const auto Middle =
-      Latencies.begin() + static_cast<std::ptrdiff_t>(Latencies.size() / 2);
-  std::nth_element(Latencies.begin(), Middle, Latencies.end());
-  return *Middle;
+      Medians.push_back(Each.Health.latency());
+    if (Each.Health.highLatency() > Duration::zero())
+      Highs.push_back(Each.Health.highLatency());
+  }
+  const Duration Median = medianOf(std::move(Medians));
+  const Duration High = medianOf(std::move(Highs));
+  // What is no longer known stays as it was.
+  if (Median > Duration::zero())
+    this->Usual.Median = Median;
+  if (High > Duration::zero())
+    this->Usual.High = High;
 }
 
 std::vector<TargetVerdict> ServiceHealth::decide(Instant Now) {
-  this->Typical = this->typicalLatency();
+  this->updateUsual();
   std::vector<EjectionWish> Wishes;
   for (const TargetSpec &Spec : this->Record.Targets) {
     Tracked &Each = this->Targets[Spec.Id];
@@ -67,10 +94,28 @@
     const TargetHealth &Health = this->Targets[Id].Health;
     const bool Kept = Admitted[I] && Wishes[I].Eject;
     Verdicts.push_back({Id, Admitted[I], Wishes[I].Leaving, Kept,
-                        Health.share(Now), Health.state(), Health.reason(),
-                        Health.ejections()});
+                        Health.byGroup(), Health.share(Now), Health.state(),
+                        Health.reason(), Health.ejections()});
   }
   return Verdicts;
 }
 
+std::vector<TargetReport> ServiceHealth::takeReports(Instant Now) {
+  std::vector<TargetReport> Reports;
+  for (auto &[Id, Each] : this->Targets) {
+    const TargetHealth &Health = Each.Health;
+    const bool Leaves = Health.leaving() || Each.ListedLeaving;
+    if (Leaves && !Each.ReportedLeaving)
+      Reports.push_back({this->Record.Name, Id, ReportKind::Leaving, 0});
+    Each.ReportedLeaving = Leaves;
+    const bool Changed = Health.streak() != Each.ReportedStreak;
+    if (!Changed || Now - Each.ReportedAt < config::ReportGap)
+      continue;
+    Each.ReportedStreak = Health.streak();
+    Each.ReportedAt = Now;
+    Reports.push_back({this->Record.Name, Id, Health.kind(), Health.streak()});
+  }
+  return Reports;
+}
+
 } // namespace siskinstage
--- a/src/core/service_health.h
+++ b/src/core/service_health.h
@@ -1,6 +1,7 @@
 #ifndef SISKINSTAGE_CORE_SERVICE_HEALTH_H
 #define SISKINSTAGE_CORE_SERVICE_HEALTH_H
 
+#include "core/gossip_message.h"
 #include "core/target_health.h"
 #include "siskinstage/service_record.h"
 
@@ -16,6 +17,7 @@
   bool Admitted = true;
   bool Leaving = false;
   bool KeptByFloor = false; ///< Sick, but the floor keeps it in.
+  bool ByGroup = false;     ///< Ejected on the reports of several nodes.
   double Share = 1.0;       ///< Part of its usual work.
   TargetHealth::State State = TargetHealth::State::Healthy;
   std::string Reason;
@@ -26,26 +28,40 @@
 /// The health of all targets of one service, as this node sees it.
 class ServiceHealth {
 public:
+  /// \param OwnDomain the failure domain of this node.
+  explicit ServiceHealth(FailureDomain OwnDomain = {})
+      : OwnDomain(std::move(OwnDomain)) {}
+
   /// Takes over a new version of the record; targets that stay keep their
   /// history.
   void configure(const ServiceRecord &Record);
   /// Which targets the instance list calls leaving.
   void setListedLeaving(const std::set<Address> &Leaving);
   void observe(const Observation &Seen);
+  /// Takes in what another node of the group reported.
+  void report(const TargetId &Target, const PeerReport &Report);
   /// Lets time pass and decides, in the record's order of targets.
   std::vector<TargetVerdict> decide(Instant Now);
-  /// Median of the targets' median latencies, zero if not known.
-  [[nodiscard]] Duration typicalLatency() const;
+  /// What changed so that the group should hear of it; nothing while all is
+  /// well.
+  std::vector<TargetReport> takeReports(Instant Now);
+  [[nodiscard]] const UsualLatency &usual() const { return this->Usual; }
 
 private:
   /// One target with its evidence.
   struct Tracked {
     TargetHealth Health;
     bool ListedLeaving = false;
+    std::uint32_t ReportedStreak = 0;
+    bool ReportedLeaving = false;
+    Instant ReportedAt;
   };
+  FailureDomain OwnDomain;
   ServiceRecord Record;
   std::map<TargetId, Tracked> Targets;
-  Duration Typical{};
+  UsualLatency Usual;
+
+  void updateUsual();
 };
 
 } // namespace siskinstage
--- a/src/core/target_health.cpp
+++ b/src/core/target_health.cpp
@@ -10,21 +10,36 @@
 namespace {
 
 constexpr double LeastShare = 0.1;
+constexpr double HighPercentile = 0.9;
+constexpr std::uint32_t ProbationFailures = 2;
 
-bool countsAsFailure(Evidence What) {
+bool isFailure(Evidence What) {
   return What == Evidence::Failure || What == Evidence::Timeout ||
-         What == Evidence::ConnectFailed;
+         What == Evidence::Overdue || What == Evidence::ConnectFailed;
+}
+
+double inNanoseconds(Duration Length) {
+  return static_cast<double>(Length.count());
+}
+
+/// The answer took much longer than at the service's other targets.
+bool isSlow(const Observation &Seen, const DetectionLimits &Limits,
+            const UsualLatency &Usual) {
+  if (Seen.What != Evidence::Success || Usual.High == Duration::zero())
+    return false;
+  return Seen.Latency >= config::SlowMinimum &&
+         inNanoseconds(Seen.Latency) >=
+             Limits.SlowFactor * inNanoseconds(Usual.High);
 }
 
 /// A caller in a hurry gave up before the target can be blamed.
 bool tooShort(const Observation &Seen, const DetectionLimits &Limits,
-              Duration Typical) {
+              const UsualLatency &Usual) {
   if (Seen.What != Evidence::Timeout)
     return false;
-  const double Patience =
-      Limits.SlowFactor * static_cast<double>(Typical.count());
   return Seen.Latency < config::TimeoutEvidenceMinimum ||
-         static_cast<double>(Seen.Latency.count()) < Patience;
+         inNanoseconds(Seen.Latency) <
+             Limits.SlowFactor * inNanoseconds(Usual.High);
 }
 
 } // namespace
@@ -37,14 +52,16 @@
     return "failure";
   case Evidence::Timeout:
     return "timeout";
+  case Evidence::Overdue:
+    return "request without an answer in the usual time";
   case Evidence::ConnectFailed:
-    return "connect-failed";
+    return "failed connection";
   case Evidence::Shed:
     return "shed";
   case Evidence::Leaving:
-    return "leaving";
+    return "leaving mark";
   }
-  return "unknown-evidence";
+  return "unknown evidence";
 }
 
 const char *targetStateName(TargetHealth::State Now) {
@@ -62,30 +79,26 @@
 DetectionLimits DetectionLimits::of(DetectionPreference Preference) {
   if (Preference == DetectionPreference::Fast)
     return {config::FastConsecutiveFailures, config::FastFailureFraction,
-            config::SlowFactorFast};
+            config::SlowFactorFast, config::FastReporters};
   return {config::CarefulConsecutiveFailures, config::CarefulFailureFraction,
-          config::SlowFactorCareful};
+          config::SlowFactorCareful, config::CarefulReporters};
 }
 
 void TargetHealth::observe(const Observation &Seen,
-                           const DetectionLimits &Limits, Duration Typical) {
+                           const DetectionLimits &Limits,
+                           const UsualLatency &Usual) {
   this->noteLeaving(Seen);
   if (Seen.What == Evidence::Shed || Seen.What == Evidence::Leaving)
     return;
-  if (tooShort(Seen, Limits, Typical))
-    return;
-  const bool Failed = countsAsFailure(Seen.What);
   // A probe that a gray target answers proves nothing.
-  if (Seen.FromProbe && !Failed)
+  if (Seen.FromProbe && Seen.What == Evidence::Success)
     return;
-  this->Median.reset();
-  this->Window.push_back({Seen.At, Failed, Seen.Latency});
-  while (this->Window.size() > config::HealthWindow ||
-         Seen.At - this->Window.front().At > config::EvidenceAge)
-    this->Window.pop_front();
-  this->Consecutive = Failed ? this->Consecutive + 1 : 0;
+  if (tooShort(Seen, Limits, Usual))
+    return;
+  const bool Failed = isFailure(Seen.What) || isSlow(Seen, Limits, Usual);
+  this->note(Seen, Failed);
   if (this->Now != State::Ejected)
-    this->judge(Seen, Limits, Typical);
+    this->judge(Seen, Limits);
 }
 
 void TargetHealth::noteLeaving(const Observation &Seen) {
@@ -99,37 +112,86 @@
     this->IsLeaving = false;
 }
 
-void TargetHealth::judge(const Observation &Seen, const DetectionLimits &Limits,
-                         Duration Typical) {
+void TargetHealth::note(const Observation &Seen, bool Failed) {
+  this->Percentiles.reset();
+  this->Window.push_back({Seen.At, Failed, Seen.Latency});
+  while (this->Window.size() > config::HealthWindow ||
+         Seen.At - this->Window.front().At > config::EvidenceAge)
+    this->Window.pop_front();
+  this->Streak = Failed ? this->Streak + 1 : 0;
+  this->Kind = Seen.What == Evidence::ConnectFailed ? ReportKind::Unreachable
+                                                    : ReportKind::Failing;
+}
+
+void TargetHealth::judge(const Observation &Seen,
+                         const DetectionLimits &Limits) {
   const bool OnProbation = this->Now == State::Probation;
-  const int Needed = OnProbation ? 2 : Limits.ConsecutiveFailures;
-  if (this->Consecutive >= Needed) {
-    this->eject(Seen.At, std::to_string(this->Consecutive) +
-                             " failures in a row, the last a " +
-                             evidenceName(Seen.What));
+  const std::uint32_t Needed =
+      OnProbation ? ProbationFailures : Limits.ConsecutiveFailures;
+  if (this->Streak >= Needed) {
+    this->eject(Seen.At, false,
+                std::to_string(this->Streak) +
+                    " failures or slow answers in a row, the last a " +
+                    evidenceName(Seen.What));
     return;
   }
   if (this->Window.size() < config::MinWindowSamples)
     return;
   const double Fraction = this->failureFraction();
-  if (Fraction >= Limits.FailureFraction) {
-    this->eject(Seen.At, std::to_string(static_cast<int>(Fraction * 100)) +
-                             "% of the "
-                             "last " +
-                             std::to_string(this->Window.size()) +
-                             " requests failed");
+  if (Fraction < Limits.FailureFraction)
+    return;
+  this->eject(Seen.At, false,
+              std::to_string(static_cast<int>(Fraction * 100)) +
+                  "% of the last " + std::to_string(this->Window.size()) +
+                  " requests failed or were slow");
+}
+
+void TargetHealth::report(const PeerReport &Report,
+                          const DetectionLimits &Limits,
+                          const FailureDomain &OwnDomain) {
+  if (Report.What == ReportKind::Leaving) {
+    this->IsLeaving = true;
+    this->LeavingSeen = Report.At;
     return;
   }
-  if (this->isSlow(Limits, Typical)) {
-    const auto Usual = std::chrono::duration_cast<Millis>(Typical).count();
-    const auto Own = std::chrono::duration_cast<Millis>(this->latency());
-    this->eject(Seen.At, "median latency " + std::to_string(Own.count()) +
-                             " ms, the service's is " + std::to_string(Usual) +
-                             " ms");
-  }
+  this->Reports[Report.From] = Report;
+  if (this->Now != State::Ejected)
+    this->judgeReports(Report.At, Limits, OwnDomain);
+}
+
+void TargetHealth::judgeReports(Instant At, const DetectionLimits &Limits,
+                                const FailureDomain &OwnDomain) {
+  std::uint32_t Failures = 0;
+  std::size_t Nodes = 0;
+  std::set<FailureDomain> Unreached;
+  bool Failing = false;
+  const auto Count = [&](std::uint32_t Failed, ReportKind What,
+                         const FailureDomain &Domain) {
+    if (Failed == 0)
+      return;
+    Failures += Failed;
+    ++Nodes;
+    if (What == ReportKind::Unreachable)
+      Unreached.insert(Domain);
+    else
+      Failing = true;
+  };
+  Count(this->Streak, this->Kind, OwnDomain);
+  for (const auto &[From, Each] : this->Reports)
+    if (At - Each.At <= config::ReportMemory)
+      Count(Each.Streak, Each.What, Each.Domain);
+  // That one failure domain can't reach the target is a fault of the path.
+  const bool PathOnly =
+      !Failing && Unreached.size() < config::UnreachableDomains;
+  if (Failures < Limits.ConsecutiveFailures || Nodes < Limits.Reporters ||
+      PathOnly)
+    return;
+  this->eject(At, true,
+              std::to_string(Nodes) + " nodes saw " + std::to_string(Failures) +
+                  " failures without a success");
 }
 
-void TargetHealth::eject(Instant At, std::string Reason) {
+void TargetHealth::eject(Instant At, bool Group, std::string Reason) {
   if (At - this->LastEjection > config::FlapMemory)
     this->Ejections = 0;
   ++this->Ejections;
@@ -140,16 +202,20 @@
       config::FirstEjection * (1U << Doublings), config::MaxEjection);
   this->Until = At + Length;
   this->Now = State::Ejected;
+  this->ByGroup = Group;
+  this->Reports.clear();
   this->Why = std::move(Reason);
 }
 
 void TargetHealth::advance(Instant At) {
   if (this->Now == State::Ejected && At >= this->Until) {
     this->Now = State::Probation;
+    this->ByGroup = false;
     this->Until = At + config::ProbationRamp;
     this->Window.clear();
-    this->Median.reset();
-    this->Consecutive = 0;
+    this->Percentiles.reset();
+    this->Reports.clear();
+    this->Streak = 0;
     this->Why = "on probation after: " + this->Why;
     return;
   }
@@ -168,38 +234,32 @@
   return static_cast<double>(Failed) / static_cast<double>(this->Window.size());
 }
 
-Duration TargetHealth::latency() const {
-  if (this->Median)
-    return *this->Median;
-  this->Median = Duration::zero();
+UsualLatency TargetHealth::percentiles() const {
+  if (this->Percentiles)
+    return *this->Percentiles;
   std::vector<Duration> Latencies;
   for (const Sample &Each : this->Window)
     if (!Each.Failed)
       Latencies.push_back(Each.Latency);
-  if (Latencies.empty())
-    return *this->Median;
-  const auto Middle =
-      Latencies.begin() + static_cast<std::ptrdiff_t>(Latencies.size() / 2);
-  std::nth_element(Latencies.begin(), Middle, Latencies.end());
-  this->Median = *Middle;
-  return *Middle;
-}
-
-bool TargetHealth::isSlow(const DetectionLimits &Limits,
-                          Duration Typical) const {
-  if (Typical == Duration::zero())
-    return false;
-  const Duration Own = this->latency();
-  const auto Usual = static_cast<double>(Typical.count());
-  return Own >= config::SlowMinimum &&
-         static_cast<double>(Own.count()) >= Limits.SlowFactor * Usual;
+  std::sort(Latencies.begin(), Latencies.end());
+  UsualLatency Found;
+  if (!Latencies.empty())
+    Found.Median = Latencies[Latencies.size() / 2];
+  if (Latencies.size() >= config::MinWindowSamples)
+    Found.High = Latencies[static_cast<std::size_t>(
+        static_cast<double>(Latencies.size()) * HighPercentile)];
+  this->Percentiles = Found;
+  return Found;
 }
 
+Duration TargetHealth::latency() const { return this->percentiles().Median; }
+
+Duration TargetHealth::highLatency() const { return this->percentiles().High; }
+
 double TargetHealth::sickness() const {
-  const double Slowness =
-      static_cast<double>(this->latency().count()) /
-      static_cast<double>(Duration(config::MaxDeadline).count());
-  return this->failureFraction() + Slowness + this->Consecutive;
+  const double Slowness = inNanoseconds(this->latency()) /
+                          inNanoseconds(Duration(config::MaxDeadline));
+  return this->failureFraction() + Slowness + this->Streak;
 }
 
 double TargetHealth::share(Instant At) const {
@@ -207,8 +267,7 @@
     return 1.0;
   const Duration Left = std::max(this->Until - At, Duration::zero());
   const double Passed =
-      1.0 - static_cast<double>(Left.count()) /
-                static_cast<double>(Duration(config::ProbationRamp).count());
+      1.0 - inNanoseconds(Left) / inNanoseconds(config::ProbationRamp);
   return std::clamp(Passed, LeastShare, 1.0);
 }
 
--- a/src/core/target_health.h
+++ b/src/core/target_health.h
@@ -1,26 +1,21 @@
 #ifndef SISKINSTAGE_CORE_TARGET_HEALTH_H
 #define SISKINSTAGE_CORE_TARGET_HEALTH_H
 
+#include "core/detection_limits.h"
 #include "core/observation.h"
-#include "siskinstage/service_record.h"
+#include "core/peer_report.h"
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace siskinstage {
 
-/// Limits that a detection preference stands for.
-struct DetectionLimits {
-  int ConsecutiveFailures = 0;
-  double FailureFraction = 0;
-  double SlowFactor = 0;
-
-  static DetectionLimits of(DetectionPreference Preference);
-};
-
-/// What one node has seen of one target, and what it concludes.
+/// What one node has seen of one target, what others reported of it, and what
+/// it concludes.
 class TargetHealth {
 public:
   enum class State {
@@ -29,9 +24,11 @@
     Probation, ///< Back with a share that grows.
   };
 
-  /// \param Typical the service's usual latency, zero if not yet known.
   void observe(const Observation &Seen, const DetectionLimits &Limits,
-               Duration Typical);
+               const UsualLatency &Usual);
+  /// Takes in what another node reported.
+  void report(const PeerReport &Report, const DetectionLimits &Limits,
+              const FailureDomain &OwnDomain);
   /// Lets time pass: ejection to probation, probation to healthy.
   void advance(Instant Now);
 
@@ -43,10 +40,17 @@
   [[nodiscard]] double share(Instant Now) const;
   /// Median of the latest successes, zero if there is none.
   [[nodiscard]] Duration latency() const;
+  /// Their ninetieth percentile, zero if there are too few.
+  [[nodiscard]] Duration highLatency() const;
   /// Why the target is as it is, for operators.
   [[nodiscard]] const std::string &reason() const { return this->Why; }
-  [[nodiscard]] Instant until() const { return this->Until; }
   [[nodiscard]] std::uint32_t ejections() const { return this->Ejections; }
+  /// The present ejection rests on the reports of several nodes.
+  [[nodiscard]] bool byGroup() const { return this->ByGroup; }
+
+  /// What this node has to report: failures since the last success.
+  [[nodiscard]] std::uint32_t streak() const { return this->Streak; }
+  [[nodiscard]] ReportKind kind() const { return this->Kind; }
 
 private:
   struct Sample {
@@ -57,23 +61,27 @@
 
   State Now = State::Healthy;
   bool IsLeaving = false;
+  bool ByGroup = false;
   Instant LeavingSeen;
   std::deque<Sample> Window;
-  /// The median of Window's successes, if it is still up to date.
-  mutable std::optional<Duration> Median;
-  int Consecutive = 0;
+  /// Percentiles of Window's successes, if they are still up to date.
+  mutable std::optional<UsualLatency> Percentiles;
+  std::uint32_t Streak = 0;
+  ReportKind Kind = ReportKind::Failing;
+  std::map<Address, PeerReport> Reports;
   std::uint32_t Ejections = 0;
   Instant LastEjection;
   Instant Until;
   std::string Why = "no failures seen";
 
-  [[nodiscard]] double failureFraction() const;
-  [[nodiscard]] bool isSlow(const DetectionLimits &Limits,
-                            Duration Typical) const;
   void noteLeaving(const Observation &Seen);
-  void judge(const Observation &Seen, const DetectionLimits &Limits,
-             Duration Typical);
-  void eject(Instant At, std::string Reason);
+  void note(const Observation &Seen, bool Failed);
+  void judge(const Observation &Seen, const DetectionLimits &Limits);
+  void judgeReports(Instant At, const DetectionLimits &Limits,
+                    const FailureDomain &OwnDomain);
+  [[nodiscard]] double failureFraction() const;
+  [[nodiscard]] UsualLatency percentiles() const;
+  void eject(Instant At, bool Group, std::string Reason);
 };
 
 const char *targetStateName(TargetHealth::State Now);
--- a/src/node/config_update.h
+++ b/src/node/config_update.h
@@ -2,6 +2,8 @@
 #define SISKINSTAGE_NODE_CONFIG_UPDATE_H
 
 #include "core/instance_list.h"
+#include "core/member.h"
+#include "core/peer_report.h"
 #include "siskinstage/record.h"
 
 #include <variant>
@@ -12,7 +14,9 @@
 /// Records that were read and found valid.
 struct RecordBatch {
   std::vector<Record> Records;
-  bool Complete = false; ///< All that the source held has now been read.
+  bool PlatformComplete = false; ///< All that the platform held was read.
+  /// Set if all revisions have been compared with a node of this domain.
+  FailureDomain ComparedWith;
 };
 
 /// The platform's list of instances.
@@ -20,8 +24,21 @@
   std::vector<Instance> Instances;
 };
 
-/// What the platform threads pass to the decision thread.
-using ConfigUpdate = std::variant<RecordBatch, InstanceBatch>;
+/// The live members, with this node.
+struct MemberBatch {
+  std::vector<Member> Live;
+};
+
+/// What another node reported of a target.
+struct ReportArrival {
+  ServiceName Service;
+  TargetId Target;
+  PeerReport Report;
+};
+
+/// What the other threads pass to the decision thread.
+using ConfigUpdate =
+    std::variant<RecordBatch, InstanceBatch, MemberBatch, ReportArrival>;
 
 } // namespace siskinstage
 
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -28,13 +28,18 @@
 } // namespace
 
 DecisionLoop::DecisionLoop(NodeContext &Context)
-    : Context(Context), Next(*Context.Snapshots.get()) {}
+    : Context(Context), Started(bootNow()), Next(*Context.Snapshots.get()) {}
+
+const RecordStore &DecisionLoop::records() const {
+  return this->Context.Records.unlocked();
+}
 
 void DecisionLoop::run() {
   while (!this->Context.Stop.sleep(config::DecisionPeriod)) {
     this->takeUpdates();
     this->takeObservations();
     this->decideAll(bootNow());
+    this->checkReady(bootNow());
     if (this->Changed)
       this->publish();
   }
@@ -59,7 +64,7 @@
   bool Routes = false;
   bool AccountsChanged = false;
   for (const Record &New : Batch.Records) {
-    if (this->Records.adopt(New) != RecordStore::Adoption::Adopted)
+    if (this->Context.Records.adopt(New) != RecordStore::Adoption::Adopted)
       continue;
     this->Changed = true;
     Routes = Routes || New.Key.Kind == RecordKind::Route;
@@ -67,16 +72,42 @@
     this->adopt(New);
     logEvent(LogLevel::Info, "record " + New.Key.text() + " is in force",
              {{"revision", std::to_string(New.Rev.Value)}});
+    this->announce(New);
   }
   if (Routes)
     this->rebuildRoutes();
   if (AccountsChanged)
     this->rebuildAccounts();
-  if (Batch.Complete && !this->Next.Configured) {
-    this->Next.Configured = true;
-    this->Changed = true;
-    logEvent(LogLevel::Info, "the first configuration is complete");
-  }
+  this->PlatformRead = this->PlatformRead || Batch.PlatformComplete;
+  if (!Batch.ComparedWith.empty())
+    this->ComparedDomains.insert(Batch.ComparedWith);
+}
+
+void DecisionLoop::announce(const Record &New) {
+  RecordNews News = {New.Key, New.Rev, ""};
+  if (New.Text && New.Text->size() <= config::MaxInlineRecordBytes)
+    News.Text = *New.Text;
+  // One that is dropped here is found by the comparison of digests.
+  this->Context.GossipOrders.push(AnnounceRecord{std::move(News)});
+}
+
+void DecisionLoop::checkReady(Instant Now) {
+  if (this->Next.Configured || this->records().all().empty())
+    return;
+  const bool Waited = Now - this->Started >= this->Context.Set.ReadyWait;
+  const bool Peers = this->ListRead && this->ComparedDomains.size() >=
+                                           std::min(config::ReadyDomains,
+                                                    this->ListedDomains.size());
+  // Peers that know the platform's revisions stand for it.
+  const bool Platform = this->PlatformRead || !this->ComparedDomains.empty();
+  if (!Waited && (!Peers || !Platform))
+    return;
+  this->Next.Configured = true;
+  this->Changed = true;
+  logEvent(LogLevel::Info, "the node is ready",
+           {{"domains_compared", std::to_string(this->ComparedDomains.size())},
+            {"platform_read", this->PlatformRead ? "yes" : "no"},
+            {"waited_out", Waited ? "yes" : "no"}});
 }
 
 void DecisionLoop::adopt(const Record &New) {
@@ -98,27 +129,35 @@
     this->Next.ServiceViews = Views;
     return;
   }
-  Held &Is = this->Services[Name];
+  Held &Is = this->Services.try_emplace(Name, Held{this->Context.Set.Domain})
+                 .first->second;
   if (!Is.Gate)
     Is.Gate =
         std::make_shared<ServiceGate>(Name, this->Context.Keys.process().Value);
   Is.Gate->configure(Service->Policy, this->Next.Fleet.RetryBudget);
   Is.Health.configure(*Service);
   Is.Health.setListedLeaving(this->ListedLeaving);
+  Is.Group = this->groupOf(Name);
   Is.Verdicts.clear();
   Is.Unsettled = true;
 }
 
 void DecisionLoop::apply(InstanceBatch &Batch) {
   std::set<Address> Leaving;
-  std::vector<SteeringNode> Live;
+  SetSeeds Seeds;
+  this->ListRead = true;
+  this->ListedDomains.clear();
   for (const Instance &Each : Batch.Instances) {
     if (Each.Is == Instance::Role::Target &&
         Each.Now == Instance::State::Leaving)
       Leaving.insert(Each.Where);
-    if (Each.Is == Instance::Role::Node && Each.Now == Instance::State::Live)
-      Live.push_back({NodeId(Each.Id), Each.Where, Each.Domain});
+    if (Each.Is != Instance::Role::Node || Each.Now != Instance::State::Live ||
+        Each.Where == this->Context.Set.Advertise)
+      continue;
+    Seeds.Seeds.push_back(Each.Where);
+    this->ListedDomains.insert(Each.Domain);
   }
+  this->Context.GossipOrders.push(std::move(Seeds));
   if (Leaving != this->ListedLeaving) {
     this->ListedLeaving = std::move(Leaving);
     for (auto &[Name, Service] : this->Services) {
@@ -126,21 +165,49 @@
       Service.Unsettled = true;
     }
   }
-  const bool Same = std::equal(
-      Live.begin(), Live.end(), this->Nodes.begin(), this->Nodes.end(),
-      [](const SteeringNode &Left, const SteeringNode &Right) {
-        return Left.Id == Right.Id && Left.Where == Right.Where;
-      });
-  if (Same)
-    return;
-  this->Nodes = Live;
+}
+
+void DecisionLoop::apply(MemberBatch &Batch) {
+  std::vector<SteeringNode> Live;
+  for (const Member &Each : Batch.Live)
+    Live.push_back({Each.Id, Each.Where, Each.Domain});
+  std::sort(Live.begin(), Live.end(),
+            [](const SteeringNode &Left, const SteeringNode &Right) {
+              return Left.Where < Right.Where;
+            });
   this->Next.Nodes = std::move(Live);
+  for (auto &[Name, Service] : this->Services)
+    Service.Group = this->groupOf(Name);
   this->Changed = true;
 }
 
+void DecisionLoop::apply(ReportArrival &Arrival) {
+  const auto Found = this->Services.find(Arrival.Service);
+  if (Found == this->Services.end())
+    return;
+  Found->second.Health.report(Arrival.Target, Arrival.Report);
+  Found->second.Unsettled = true;
+}
+
+std::vector<Address> DecisionLoop::groupOf(const ServiceName &Name) const {
+  const ServiceRecord *Record = this->record(Name);
+  if (Record == nullptr)
+    return {};
+  const std::size_t Slots =
+      Record->Targets.size() * Record->SlotsPerTarget.Value;
+  const std::size_t PerDomain =
+      groupNodesPerDomain(Slots, countDomains(this->Next.Nodes));
+  std::vector<Address> Group;
+  for (const SteeringNode &Node :
+       serviceGroup(this->Next.Nodes, Name, PerDomain))
+    if (Node.Where != this->Context.Set.Advertise)
+      Group.push_back(Node.Where);
+  return Group;
+}
+
 void DecisionLoop::rebuildRoutes() {
   auto Table = std::make_shared<RouteTable>();
-  for (const auto &[Key, Each] : this->Records.all())
+  for (const auto &[Key, Each] : this->records().all())
     if (const auto *Route = std::get_if<RouteRecord>(&Each.Body))
       Table->add(*Route);
   this->Next.Routes = Table;
@@ -148,14 +215,14 @@
 
 void DecisionLoop::rebuildAccounts() {
   auto Known = std::make_shared<Accounts>();
-  for (const auto &[Key, Each] : this->Records.all())
+  for (const auto &[Key, Each] : this->records().all())
     if (const auto *Account = std::get_if<AccountRecord>(&Each.Body))
       Known->emplace(Account->Name, *Account);
   this->Next.AccountRecords = Known;
 }
 
 const ServiceRecord *DecisionLoop::record(const ServiceName &Name) const {
-  const Record *Found = this->Records.find({RecordKind::Service, Name.str()});
+  const Record *Found = this->records().find({RecordKind::Service, Name.str()});
   return Found == nullptr ? nullptr : std::get_if<ServiceRecord>(&Found->Body);
 }
 
@@ -185,13 +252,17 @@
   const ServiceRecord *Record = this->record(Name);
   this->noteSaidLeaving(*Record, Service, Now);
   std::vector<TargetVerdict> Verdicts = Service.Health.decide(Now);
-  const Duration Typical = Service.Health.typicalLatency();
+  for (const TargetReport &Report : Service.Health.takeReports(Now))
+    this->Context.GossipOrders.push(SendReport{Report, Service.Group});
+  const UsualLatency Usual = Service.Health.usual();
   Service.Unsettled = !std::all_of(Verdicts.begin(), Verdicts.end(), isSettled);
-  if (Verdicts == Service.Verdicts && !movedMuch(Service.Typical, Typical))
+  if (Verdicts == Service.Verdicts &&
+      !movedMuch(Service.Usual.Median, Usual.Median) &&
+      !movedMuch(Service.Usual.High, Usual.High))
     return;
   this->logChanges(Name, Service.Verdicts, Verdicts);
   Service.Verdicts = std::move(Verdicts);
-  Service.Typical = Typical;
+  Service.Usual = Usual;
   this->rebuildService(Name, Service);
   this->Changed = true;
 }
@@ -206,7 +277,7 @@
         Now.Admitted == Old[I].Admitted)
       continue;
     if (!StateSame && Now.State == TargetHealth::State::Ejected)
-      this->Context.Measured.ejected(Name.str());
+      this->noteEjection(Name, Now);
     logEvent(LogLevel::Info,
              "target " + Now.Id.str() + " of service " + Name.str() + " is " +
                  (Now.Leaving ? "leaving" : targetStateName(Now.State)),
@@ -216,6 +287,13 @@
   }
 }
 
+void DecisionLoop::noteEjection(const ServiceName &Name,
+                                const TargetVerdict &Verdict) {
+  this->Context.Measured.ejected(Name.str());
+  if (Verdict.ByGroup)
+    ++this->Context.GroupEjections;
+}
+
 std::shared_ptr<TargetGauge> DecisionLoop::gaugeOf(const Address &Where) {
   std::shared_ptr<TargetGauge> &Gauge = this->Gauges[Where];
   if (!Gauge)
@@ -228,7 +306,8 @@
   auto View = std::make_shared<ServiceView>();
   View->Record = *this->record(Name);
   View->Gate = Service.Gate;
-  View->Typical = Service.Typical;
+  View->Typical = Service.Usual.Median;
+  View->High = Service.Usual.High;
   for (std::size_t I = 0; I < Service.Verdicts.size(); ++I) {
     const TargetSpec &Spec = View->Record.Targets[I];
     View->Targets.push_back(
@@ -242,8 +321,8 @@
 
 void DecisionLoop::publish() {
   ++this->Next.Version;
-  this->Next.Highest = this->Records.highest();
-  this->Next.Records = this->Records.all().size();
+  this->Next.Highest = this->records().highest();
+  this->Next.Records = this->records().all().size();
   this->Context.Snapshots.set(std::make_shared<Snapshot>(this->Next));
   this->Context.Measured.setRevision(
       static_cast<double>(this->Next.Highest.Value));
--- a/src/node/decision_loop.h
+++ b/src/node/decision_loop.h
@@ -26,19 +26,25 @@
 private:
   /// Health and shared objects of one service.
   struct Held {
+    explicit Held(const FailureDomain &Own) : Health(Own) {}
+
     ServiceHealth Health;
+    std::vector<Address> Group; ///< The other nodes that serve it.
     std::vector<TargetVerdict> Verdicts;
     std::shared_ptr<ServiceGate> Gate;
-    Duration Typical{};
+    UsualLatency Usual;
     bool Unsettled = true; ///< Must be decided again as time passes.
   };
 
   NodeContext &Context;
-  RecordStore Records;
+  Instant Started;
   std::unordered_map<ServiceName, Held> Services;
   std::unordered_map<Address, std::shared_ptr<TargetGauge>> Gauges;
   std::set<Address> ListedLeaving;
-  std::vector<SteeringNode> Nodes;
+  std::set<FailureDomain> ListedDomains; ///< Of other live nodes.
+  std::set<FailureDomain> ComparedDomains;
+  bool ListRead = false;
+  bool PlatformRead = false;
   Snapshot Next;
   bool Changed = false;
 
@@ -46,7 +52,15 @@
   void takeUpdates();
   void apply(RecordBatch &Batch);
   void apply(InstanceBatch &Batch);
+  void apply(MemberBatch &Batch);
+  void apply(ReportArrival &Arrival);
   void adopt(const Record &New);
+  void announce(const Record &New);
+  /// Whether enough has been compared to answer callers.
+  void checkReady(Instant Now);
+  void noteEjection(const ServiceName &Name, const TargetVerdict &Verdict);
+  [[nodiscard]] const RecordStore &records() const;
+  [[nodiscard]] std::vector<Address> groupOf(const ServiceName &Name) const;
   void rebuildRoutes();
   void rebuildAccounts();
   void decideAll(Instant Now);
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -84,6 +84,19 @@
   return std::max<Duration>(config::SilentMinimum, Usual);
 }
 
+Duration Dispatcher::overdueAfter() const {
+  const ServiceView &Service = *this->Order.Service;
+  // Without a usual latency nothing can be called overdue.
+  if (Service.High == Duration::zero())
+    return Duration::zero();
+  const double Factor =
+      DetectionLimits::of(Service.Record.Detection).SlowFactor;
+  const auto Usual = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::nano>(
+          Factor * static_cast<double>(Service.High.count())));
+  return std::max<Duration>(config::OverdueMinimum, Usual);
+}
+
 ExchangeResult<PooledConnection> Dispatcher::connect(const TargetView &Target) {
   const bool Repeatable = this->Order.Kind == Repeatability::Repeatable;
   const Duration MaxSilence = Repeatable ? Duration(config::TargetIdleLimit)
@@ -114,7 +127,12 @@
                             this->Order.Deadline,
                             this->Order.Service->Record.RequireEcho,
                             this->Order.Caller,
-                            this->silentLimit()};
+                            this->silentLimit(),
+                            this->overdueAfter(),
+                            [this, &Target, Started = bootNow()] {
+                              this->observe(Target, Evidence::Overdue,
+                                            bootNow() - Started);
+                            }};
   auto Running =
       std::make_unique<TargetExchange>(std::move(*Taken), std::move(Exchange));
   const auto Ran = Running->run();
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -65,6 +65,8 @@
   ExchangeResult<std::unique_ptr<TargetExchange>> attempt(TargetLease &Lease);
   ExchangeResult<PooledConnection> connect(const TargetView &Target);
   [[nodiscard]] Duration silentLimit() const;
+  /// Time after which a request without an answer counts against its target.
+  [[nodiscard]] Duration overdueAfter() const;
   /// Notes evidence of a finished try.
   void noteAnswer(const TargetView &Target, TargetExchange &Exchange,
                   Duration Took);
--- /dev/null
+++ b/src/node/gossip_loop.cpp
@@ -0,0 +1,229 @@
+#include "node/gossip_loop.h"
+#include "core/gossip_codec.h"
+#include "net/boot_time.h"
+#include "net/json_rpc.h"
+#include "net/wall_clock.h"
+#include "node/node_context.h"
+#include "node/record_intake.h"
+#include "node/snapshot.h"
+#include "siskinstage/config.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <poll.h>
+
+namespace siskinstage {
+
+namespace {
+
+constexpr std::chrono::milliseconds ShowPeriod{500};
+constexpr int MaxDatagramsAtOnce = 256;
+constexpr int ReceiveBufferBytes = 1024 * 1024;
+
+Member selfOf(const NodeContext &Context) {
+  Member Self;
+  Self.Where = Context.Set.Advertise;
+  Self.Id = Context.Set.Id;
+  Self.Domain = Context.Set.Domain;
+  Self.Process = Context.Keys.process();
+  // A replaced node that starts later outdoes its forerunner at once; should
+  // its clock be behind, it learns the higher number from the others.
+  Self.Lives = {wallClockMs()};
+  return Self;
+}
+
+} // namespace
+
+GossipLoop::GossipLoop(NodeContext &Context, std::uint64_t Seed)
+    : Context(Context), Members(selfOf(Context), Seed),
+      Seal(*Context.Set.Keys, Context.Keys.process()) {}
+
+Result<std::unique_ptr<GossipLoop>> GossipLoop::start(NodeContext &Context,
+                                                      std::uint64_t Seed) {
+  std::unique_ptr<GossipLoop> New(new GossipLoop(Context, Seed));
+  const std::string Where = Context.Set.Listen.str();
+  try {
+    New->Socket.bind(Poco::Net::SocketAddress(Where), true, false);
+    New->Socket.setReceiveBufferSize(ReceiveBufferBytes);
+    New->Socket.setBlocking(false);
+  } catch (const Poco::Exception &Fault) {
+    return fail(Step::Listen, Where + "/udp", Fault.displayText());
+  }
+  New->show(bootNow());
+  return New;
+}
+
+void GossipLoop::run() {
+  const int Descriptor = this->Socket.impl()->sockfd();
+  while (!this->Context.Stop.stopped()) {
+    pollfd Polled{Descriptor, POLLIN, 0};
+    // A short wait while orders may come, so that news leaves at once.
+    ::poll(&Polled, 1, static_cast<int>(config::DecisionPeriod.count()));
+    this->receiveAll();
+    this->takeOrders();
+    const Instant Now = bootNow();
+    this->send(this->Members.tick(Now));
+    if (this->Context.Draining.load() && !this->SaidFarewell) {
+      this->SaidFarewell = true;
+      this->send(this->Members.leave(Now));
+    }
+    this->show(Now);
+  }
+}
+
+void GossipLoop::receiveAll() {
+  std::array<char, 2048> Buffer{};
+  for (int I = 0; I < MaxDatagramsAtOnce; ++I) {
+    int Got = 0;
+    try {
+      Poco::Net::SocketAddress From;
+      Got = this->Socket.receiveFrom(Buffer.data(),
+                                     static_cast<int>(Buffer.size()), From);
+    } catch (const Poco::Exception &) {
+      return; // Nothing is left, or a destination was unreachable.
+    }
+    if (Got <= 0)
+      return;
+    this->Context.Traffic.BytesReceived += static_cast<std::uint64_t>(Got);
+    this->receive(std::string(Buffer.data(), static_cast<std::size_t>(Got)));
+  }
+}
+
+void GossipLoop::receive(const std::string &Datagram) {
+  const auto Payload = this->Seal.open(Datagram, wallClockMs());
+  Json::Value Params;
+  if (!Payload || !readGossipNotification(*Payload, Params)) {
+    ++this->Context.Traffic.Refused;
+    return;
+  }
+  const auto Message = decodeGossip(Params);
+  if (!Message) {
+    ++this->Context.Traffic.Refused;
+    logError(LogLevel::Warn, "a gossip message is refused", Message.error());
+    return;
+  }
+  if (Message->From.Where != this->Members.self().Where)
+    this->take(*Message);
+}
+
+void GossipLoop::take(const GossipMessage &Message) {
+  this->send(this->Members.receive(Message, bootNow()));
+  if (const auto *News = std::get_if<RecordNews>(&Message.Body))
+    this->takeNews(*News, Message.From);
+  else if (const auto *Report = std::get_if<TargetReport>(&Message.Body))
+    this->Context.Updates.push(
+        ReportArrival{Report->Service, Report->Target,
+                      PeerReport{Message.From.Where, Message.From.Domain,
+                                 Report->What, Report->Streak, bootNow()}});
+  else
+    this->compareDigests(Message);
+}
+
+void GossipLoop::takeNews(const RecordNews &News, const Member &From) {
+  if (News.Rev <= this->Context.Records.revision(News.Key))
+    return;
+  if (News.Text.empty()) {
+    this->Context.SyncTasks.push(
+        {SyncTask::Kind::OneRecord, From.Where, From.Domain, News.Key});
+    return;
+  }
+  RecordBatch Batch;
+  takeRecordText(this->Context, News.Text, From.Where, Batch);
+  this->Context.Updates.push(Batch);
+}
+
+void GossipLoop::compareDigests(const GossipMessage &Message) {
+  const Instant Now = bootNow();
+  const bool NotYet = !this->Context.Snapshots.get()->Configured;
+  const bool Differ = Message.RecordsDigest != this->Context.Records.digest();
+  if ((Differ || NotYet) && Now >= this->NextRecordSync) {
+    this->NextRecordSync =
+        Now + (NotYet ? config::GossipAckTimeout : config::RecordSyncPeriod);
+    this->Context.SyncTasks.push(
+        {SyncTask::Kind::Records, Message.From.Where, Message.From.Domain, {}});
+  }
+  if (Message.MembersDigest == this->Members.digest() ||
+      Now < this->NextMemberSync)
+    return;
+  const auto Known = static_cast<std::int64_t>(this->Members.live().size());
+  // The first table is asked for at once, later ones seldom.
+  const bool Alone = Known <= 2;
+  this->NextMemberSync =
+      Now + (Alone ? Duration(config::GossipPeriod)
+                   : std::max<Duration>(config::MemberSyncPeriod,
+                                        config::MemberSyncPerMember * Known));
+  this->Context.SyncTasks.push(
+      {SyncTask::Kind::Members, Message.From.Where, Message.From.Domain, {}});
+}
+
+void GossipLoop::takeOrders() {
+  while (const auto Order = this->Context.GossipOrders.pop())
+    std::visit([this](const auto &Each) { this->obey(Each); }, *Order);
+}
+
+void GossipLoop::obey(const AnnounceRecord &Order) {
+  for (const Address &To : this->Members.sample(config::NewsFanout))
+    this->send(To, this->Members.compose(Order.News));
+}
+
+void GossipLoop::obey(const SendReport &Order) {
+  for (const Address &To : Order.To)
+    this->send(To, this->Members.compose(Order.Report));
+}
+
+void GossipLoop::obey(const SetSeeds &Order) {
+  this->Members.setSeeds(Order.Seeds);
+}
+
+void GossipLoop::obey(const std::vector<Member> &Table) {
+  this->Members.merge(Table, bootNow());
+}
+
+void GossipLoop::send(const std::vector<OutgoingGossip> &Out) {
+  for (const OutgoingGossip &Each : Out)
+    this->send(Each.To, Each.Message);
+}
+
+void GossipLoop::send(const Address &To, GossipMessage Message) {
+  Message.RecordsDigest = this->Context.Records.digest();
+  std::string Datagram =
+      this->Seal.seal(gossipNotification(encodeGossip(Message)), wallClockMs());
+  // News of members gives way to a long record.
+  while (Datagram.size() > config::MaxDatagramBytes &&
+         !Message.Updates.empty()) {
+    Message.Updates.pop_back();
+    Datagram = this->Seal.seal(gossipNotification(encodeGossip(Message)),
+                               wallClockMs());
+  }
+  try {
+    auto [Found, New] = this->Resolved.try_emplace(To);
+    if (New)
+      Found->second = Poco::Net::SocketAddress(To.str());
+    this->Socket.sendTo(Datagram.data(), static_cast<int>(Datagram.size()),
+                        Found->second);
+    this->Context.Traffic.BytesSent += Datagram.size();
+  } catch (const Poco::Exception &) {
+    // A datagram that can't be sent is as good as lost.
+  }
+}
+
+void GossipLoop::show(Instant Now) {
+  const bool Changed = this->Members.version() != this->ShownVersion;
+  if (!Changed && Now < this->NextShow)
+    return;
+  this->NextShow = Now + ShowPeriod;
+  auto View = std::make_shared<MembersView>();
+  View->All = this->Members.members();
+  View->Live = this->Members.live();
+  View->Counts = this->Members.stats();
+  this->Context.Members.store(View);
+  if (Changed || this->ShownVersion == 0)
+    if (!this->Context.Updates.push(MemberBatch{View->Live}))
+      return; // It is tried again with the next view.
+  this->ShownVersion = this->Members.version();
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/node/gossip_order.h
@@ -0,0 +1,42 @@
+#ifndef SISKINSTAGE_NODE_GOSSIP_ORDER_H
+#define SISKINSTAGE_NODE_GOSSIP_ORDER_H
+
+#include "core/gossip_message.h"
+
+#include <variant>
+#include <vector>
+
+namespace siskinstage {
+
+/// Tells some members of a new record.
+struct AnnounceRecord {
+  RecordNews News;
+};
+
+/// Tells the named nodes of a target.
+struct SendReport {
+  TargetReport Report;
+  std::vector<Address> To;
+};
+
+/// Addresses at which lost parts of the fleet may be found.
+struct SetSeeds {
+  std::vector<Address> Seeds;
+};
+
+/// What the other threads ask of the gossip thread.
+using GossipOrder =
+    std::variant<AnnounceRecord, SendReport, SetSeeds, std::vector<Member>>;
+
+/// Reads what differs from a peer: its records, or its table of members.
+struct SyncTask {
+  enum class Kind { Records, OneRecord, Members };
+  Kind What = Kind::Records;
+  Address Peer;
+  FailureDomain Domain;
+  RecordKey Key; ///< For OneRecord.
+};
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NODE_GOSSIP_ORDER_H
--- a/src/node/header_names.h
+++ b/src/node/header_names.h
@@ -12,6 +12,8 @@
 inline constexpr const char *Hops = "Siskinstage-Hops";
 inline constexpr const char *Leaving = "Siskinstage-Leaving";
 inline constexpr const char *InFlight = "Siskinstage-In-Flight";
+inline constexpr const char *PeerTime = "Siskinstage-Peer-Time";
+inline constexpr const char *PeerMac = "Siskinstage-Peer-Mac";
 inline constexpr const char *IdempotencyKey = "Idempotency-Key";
 
 } // namespace siskinstage::header
--- /dev/null
+++ b/src/node/members_view.h
@@ -0,0 +1,29 @@
+#ifndef SISKINSTAGE_NODE_MEMBERS_VIEW_H
+#define SISKINSTAGE_NODE_MEMBERS_VIEW_H
+
+#include "core/membership.h"
+
+#include <atomic>
+#include <cstdint>
+#include <vector>
+
+namespace siskinstage {
+
+/// What the gossip thread shows of the members.
+struct MembersView {
+  std::vector<Member> All;  ///< Known members without this node.
+  std::vector<Member> Live; ///< Live ones with this node.
+  Membership::Stats Counts;
+};
+
+/// Traffic of the gossip thread since the start.
+struct GossipTraffic {
+  std::atomic<std::uint64_t> BytesSent{0};
+  std::atomic<std::uint64_t> BytesReceived{0};
+  std::atomic<std::uint64_t> Refused{0};   ///< Forged, repeated or malformed.
+  std::atomic<std::uint64_t> SyncBytes{0}; ///< Read from peers over TCP.
+};
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NODE_MEMBERS_VIEW_H
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -3,8 +3,10 @@
 #include "net/boot_time.h"
 #include "node/caller_server.h"
 #include "node/decision_loop.h"
+#include "node/gossip_loop.h"
 #include "node/node_context.h"
 #include "node/operator_server.h"
+#include "node/peer_sync.h"
 #include "node/platform_client.h"
 #include "node/prober.h"
 #include "node/snapshot.h"
@@ -43,6 +45,10 @@
   if (!Operators)
     return tl::unexpected<Error>(Operators.error());
   New->Operators = std::move(*Operators);
+  auto Gossip = GossipLoop::start(*New->Context, Process.Value);
+  if (!Gossip)
+    return tl::unexpected<Error>(Gossip.error());
+  New->Gossip = std::move(*Gossip);
   auto Callers = CallerServer::start(*New->Context);
   if (!Callers)
     return tl::unexpected<Error>(Callers.error());
@@ -58,6 +64,8 @@
 void Node::startThreads(std::uint64_t Seed) {
   NodeContext &Shared = *this->Context;
   this->Threads.emplace_back([&Shared] { DecisionLoop(Shared).run(); });
+  this->Threads.emplace_back([this] { this->Gossip->run(); });
+  this->Threads.emplace_back([&Shared] { PeerSync(Shared).run(); });
   this->Threads.emplace_back(
       [&Shared, Seed] { PlatformClient(Shared, Seed).watchRecords(); });
   this->Threads.emplace_back(
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -12,6 +12,7 @@
 
 struct NodeContext;
 class CallerServer;
+class GossipLoop;
 class OperatorServer;
 
 /// One running node with its threads.
@@ -25,6 +26,7 @@
 
 private:
   std::unique_ptr<NodeContext> Context;
+  std::unique_ptr<GossipLoop> Gossip;
   std::unique_ptr<CallerServer> Callers;
   std::unique_ptr<OperatorServer> Operators;
   std::vector<std::thread> Threads;
--- a/src/node/node_context.cpp
+++ b/src/node/node_context.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t UpdateRingSize = 256;
+constexpr std::size_t UpdateRingSize = 1024;
 
 } // namespace
 
@@ -18,7 +18,9 @@
                          Incarnation Process,
                          std::shared_ptr<const Snapshot> First)
     : Set(Set), Snapshots(std::move(First)), Keys(Own, Process),
-      Observations(config::ObservationRingSize), Updates(UpdateRingSize) {}
+      Observations(config::ObservationRingSize), Updates(UpdateRingSize),
+      GossipOrders(UpdateRingSize), SyncTasks(UpdateRingSize),
+      Members(std::make_shared<const MembersView>()) {}
 
 bool NodeContext::ready() const {
   return !this->Draining.load() && this->Snapshots.get()->Configured;
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -5,9 +5,12 @@
 #include "core/observation.h"
 #include "node/account_gate.h"
 #include "node/config_update.h"
+#include "node/gossip_order.h"
 #include "node/key_owner.h"
+#include "node/members_view.h"
 #include "node/metrics.h"
 #include "node/settings.h"
+#include "node/shared_records.h"
 #include "node/snapshot_holder.h"
 #include "node/stop_flag.h"
 
@@ -27,8 +30,16 @@
   AccountGate AccountLimits;
   /// From handlers and the probe thread to the decision thread.
   BoundedRing<Observation> Observations;
-  /// From the platform threads to the decision thread.
+  /// From the platform, gossip and sync threads to the decision thread.
   BoundedRing<ConfigUpdate> Updates;
+  /// From the decision and sync threads to the gossip thread.
+  BoundedRing<GossipOrder> GossipOrders;
+  /// From the gossip thread to the sync thread.
+  BoundedRing<SyncTask> SyncTasks;
+  SharedRecords Records;
+  std::atomic<std::shared_ptr<const MembersView>> Members;
+  GossipTraffic Traffic;
+  std::atomic<std::uint64_t> GroupEjections{0};
   StopFlag Stop;
   std::atomic<bool> Draining{false}; ///< SIGTERM came.
   std::atomic<std::uint32_t> CallerConnections{0};
--- /dev/null
+++ b/src/node/peer_sync.cpp
@@ -0,0 +1,94 @@
+#include "node/peer_sync.h"
+#include "core/gossip_codec.h"
+#include "node/node_context.h"
+#include "node/peer_api.h"
+#include "node/record_intake.h"
+#include "siskinstage/config.h"
+
+#include <Poco/URI.h>
+
+namespace siskinstage {
+
+void PeerSync::run() {
+  while (!this->Context.Stop.stopped()) {
+    const auto Task = this->Context.SyncTasks.pop();
+    if (!Task) {
+      this->Context.Stop.sleep(config::DecisionPeriod);
+      continue;
+    }
+    const auto Done = this->runTask(*Task);
+    if (!Done)
+      logError(LogLevel::Info, "a peer could not be read", Done.error());
+  }
+}
+
+Result<void> PeerSync::runTask(const SyncTask &Task) {
+  switch (Task.What) {
+  case SyncTask::Kind::Records:
+    return this->readRecords(Task);
+  case SyncTask::Kind::OneRecord:
+    return this->readOneRecord(Task);
+  case SyncTask::Kind::Members:
+    return this->readMembers(Task);
+  }
+  return {};
+}
+
+Result<void> PeerSync::readRecords(const SyncTask &Task) {
+  const std::string Start = PeerPathStart;
+  const auto Theirs = askPeer(this->Context, Task.Peer, Start + "digests");
+  if (!Theirs)
+    return tl::unexpected<Error>(Theirs.error());
+  const auto Own = this->Context.Records.bucketDigests();
+  if (!Theirs->isArray() || Theirs->size() != Own.size())
+    return fail(Step::Forward, Task.Peer.str(), "the digests are malformed");
+  for (Json::ArrayIndex I = 0; I < Theirs->size(); ++I) {
+    if (!(*Theirs)[I].isUInt64() || (*Theirs)[I].asUInt64() == Own[I])
+      continue;
+    const auto Texts = askPeer(this->Context, Task.Peer,
+                               Start + "bucket?n=" + std::to_string(I));
+    if (!Texts)
+      return tl::unexpected<Error>(Texts.error());
+    RecordBatch Batch;
+    for (const Json::Value &Text : *Texts)
+      if (Text.isString())
+        takeRecordText(this->Context, Text.asString(), Task.Peer, Batch);
+    passOn(this->Context, Batch);
+  }
+  RecordBatch Compared;
+  Compared.ComparedWith = Task.Domain;
+  passOn(this->Context, Compared);
+  return {};
+}
+
+Result<void> PeerSync::readOneRecord(const SyncTask &Task) {
+  Poco::URI Uri(std::string(PeerPathStart) + "record");
+  Uri.addQueryParameter("kind", recordKindName(Task.Key.Kind));
+  Uri.addQueryParameter("name", Task.Key.Name);
+  const auto Texts = askPeer(this->Context, Task.Peer, Uri.getPathAndQuery());
+  if (!Texts)
+    return tl::unexpected<Error>(Texts.error());
+  RecordBatch Batch;
+  for (const Json::Value &Text : *Texts)
+    if (Text.isString())
+      takeRecordText(this->Context, Text.asString(), Task.Peer, Batch);
+  passOn(this->Context, Batch);
+  return {};
+}
+
+Result<void> PeerSync::readMembers(const SyncTask &Task) {
+  const auto List =
+      askPeer(this->Context, Task.Peer, std::string(PeerPathStart) + "members");
+  if (!List)
+    return tl::unexpected<Error>(List.error());
+  std::vector<Member> Members;
+  for (const Json::Value &Value : *List) {
+    auto Read = decodeMember(Value);
+    if (Read)
+      Members.push_back(std::move(*Read));
+  }
+  this->Context.GossipOrders.push(Members);
+  return {};
+}
+
+} // namespace siskinstage
--- a/src/node/platform_client.cpp
+++ b/src/node/platform_client.cpp
@@ -1,13 +1,13 @@
 #include "node/platform_client.h"
-#include "core/record_parser.h"
+#include "core/steering.h"
 #include "net/boot_time.h"
 #include "net/http_client.h"
+#include "net/json_text.h"
 #include "node/node_context.h"
+#include "node/record_intake.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
-#include <json/reader.h>
-#include <memory>
 
 namespace siskinstage {
 
@@ -15,20 +15,20 @@
 
 constexpr std::size_t MaxAnswerBytes = 4 * config::MaxRecordBytes;
 constexpr std::uint64_t InstanceSeed = 1;
-
-Result<Json::Value> parsedJson(const std::string &Text,
-                               const std::string &Peer) {
-  const std::unique_ptr<Json::CharReader> Reader(
-      Json::CharReaderBuilder().newCharReader());
-  Json::Value Root;
-  std::string Faults;
-  try {
-    if (Reader->parse(Text.data(), Text.data() + Text.size(), &Root, &Faults))
-      return Root;
-  } catch (const Json::Exception &Fault) {
-    Faults = Fault.what();
-  }
-  return fail(Step::Platform, Peer, "the answer is not JSON: " + Faults);
+constexpr const char *WatcherKey = "platform watchers";
+
+/// Whether this node is one of its failure domain's few watchers.
+bool isWatcher(const NodeContext &Context) {
+  std::vector<SteeringNode> Own;
+  for (const Member &Each : Context.Members.load()->Live)
+    if (Each.Domain == Context.Set.Domain)
+      Own.push_back({Each.Id, Each.Where, Each.Domain});
+  const auto Chosen =
+      serviceGroup(Own, ServiceName(WatcherKey), config::WatchersPerDomain);
+  return std::any_of(Chosen.begin(), Chosen.end(),
+                     [&](const SteeringNode &Node) {
+                       return Node.Where == Context.Set.Advertise;
+                     });
 }
 
 } // namespace
@@ -46,28 +46,7 @@
   if (Answer->Head.getStatus() != Poco::Net::HTTPResponse::HTTP_OK)
     return fail(Step::Platform, Platform.str(),
                 "status " + std::to_string(Answer->Head.getStatus()));
-  return parsedJson(Answer->Body, Platform.str());
-}
-
-void PlatformClient::push(const ConfigUpdate &Update) {
-  // Configuration is never dropped: this thread can wait for a place.
-  while (!this->Context.Updates.push(Update))
-    if (this->Context.Stop.sleep(config::DecisionPeriod))
-      return;
-}
-
-void PlatformClient::readInto(const Json::Value &Value, RecordBatch &Batch) {
-  RecordReading Reading = readRecord(Value);
-  for (const std::string &Warning : Reading.Warnings)
-    logEvent(LogLevel::Warn, "record " + Reading.Label + ": " + Warning);
-  for (const FieldFault &Fault : Reading.Faults)
-    logEvent(LogLevel::Error,
-             "record " + Reading.Label + " is refused: " + Fault.text(),
-             {{"step", stepName(Step::Records)}});
-  if (Reading.Accepted)
-    Batch.Records.push_back(std::move(*Reading.Accepted));
-  else
-    this->Context.Measured.recordRefused();
+  return parseJson(Answer->Body, Platform.str());
 }
 
 Result<std::uint64_t> PlatformClient::watchOnce(std::uint64_t After) {
@@ -83,10 +62,10 @@
     return fail(Step::Platform, this->Context.Set.Platform.str(),
                 "the answer holds no \"version\" and \"records\"");
   RecordBatch Batch;
-  Batch.Complete = !(*Answer)["more"].asBool();
+  Batch.PlatformComplete = !(*Answer)["more"].asBool();
   for (const Json::Value &Value : List)
-    this->readInto(Value, Batch);
-  this->push(Batch);
+    takeRecord(this->Context, Value, Batch);
+  passOn(this->Context, Batch);
   return Version.asUInt64();
 }
 
@@ -94,7 +73,13 @@
   Random Dice(this->Seed);
   std::uint64_t After = 0;
   int Failures = 0;
+  // A new node first looks for peers, which spare the platform its reading.
+  this->Context.Stop.sleep(config::GossipPeriod);
   while (!this->Context.Stop.stopped()) {
+    if (!isWatcher(this->Context)) {
+      this->Context.Stop.sleep(config::GossipPeriod);
+      continue;
+    }
     const auto Version = this->watchOnce(After);
     this->Context.Measured.platformCall(Version ? "ok" : "failed");
     if (Version) {
@@ -119,7 +104,7 @@
     logEvent(LogLevel::Warn, "instance list: " + Warning);
   if (!Instances)
     return tl::unexpected<Error>(Instances.error());
-  this->push(InstanceBatch{std::move(*Instances)});
+  passOn(this->Context, InstanceBatch{std::move(*Instances)});
   return {};
 }
 
@@ -131,7 +116,7 @@
     this->Context.Measured.platformCall(Read ? "ok" : "failed");
     if (Read) {
       Failures = 0;
-      this->Context.Stop.sleep(config::InstanceListPeriod);
+      this->Context.Stop.sleep(this->instancePeriod(Dice));
       continue;
     }
     if (Failures == 0)
@@ -141,6 +126,16 @@
   }
 }
 
+Duration PlatformClient::instancePeriod(Random &Dice) const {
+  const std::size_t Live = this->Context.Members.load()->Live.size();
+  if (Live <= 1 || isWatcher(this->Context))
+    return config::InstanceListPeriod;
+  const Duration Period = std::max<Duration>(
+      config::InstanceListRest,
+      config::InstanceListPerMember * static_cast<std::int64_t>(Live));
+  return std::chrono::duration_cast<Duration>(Period * (0.5 + Dice.unit()));
+}
+
 void PlatformClient::backOff(int Failures, Random &Dice) {
   constexpr int MaxDoublings = 8;
   const Duration Longest = std::min<Duration>(
--- a/src/node/platform_client.h
+++ b/src/node/platform_client.h
@@ -12,9 +12,10 @@
 
 struct NodeContext;
 
-/// Reads the platform: one thread watches the records, another reads the
-/// instance list. The platform may be away or stale for hours; what is in force
-/// stays so meanwhile.
+/// Reads the platform: one thread watches the records if this node is one of
+/// the few watchers of its failure domain, another reads the instance list. The
+/// platform may be away or stale for hours; what is in force stays so
+/// meanwhile.
 class PlatformClient {
 public:
   PlatformClient(NodeContext &Context, std::uint64_t Seed);
@@ -31,8 +32,8 @@
   Result<Json::Value> get(const std::string &Target, Duration Timeout);
   Result<std::uint64_t> watchOnce(std::uint64_t After);
   Result<void> readInstancesOnce();
-  void push(const ConfigUpdate &Update);
-  void readInto(const Json::Value &Value, RecordBatch &Batch);
+  /// Time to the next reading of the list: short for watchers, else long.
+  Duration instancePeriod(Random &Dice) const;
   /// Sleeps with full jitter before try number \p Failures.
   void backOff(int Failures, Random &Dice);
 };
--- /dev/null
+++ b/src/node/record_intake.cpp
@@ -0,0 +1,42 @@
+#include "node/record_intake.h"
+#include "core/record_parser.h"
+#include "node/node_context.h"
+#include "siskinstage/config.h"
+
+namespace siskinstage {
+
+void takeRecord(NodeContext &Context, const Json::Value &Value,
+                RecordBatch &Batch) {
+  RecordReading Reading = readRecord(Value);
+  for (const std::string &Warning : Reading.Warnings)
+    logEvent(LogLevel::Warn, "record " + Reading.Label + ": " + Warning);
+  for (const FieldFault &Fault : Reading.Faults)
+    logEvent(LogLevel::Error,
+             "record " + Reading.Label + " is refused: " + Fault.text(),
+             {{"step", stepName(Step::Records)}});
+  if (Reading.Accepted)
+    Batch.Records.push_back(std::move(*Reading.Accepted));
+  else
+    Context.Measured.recordRefused();
+}
+
+void takeRecordText(NodeContext &Context, const std::string &Text,
+                    const Address &Peer, RecordBatch &Batch) {
+  const auto Values = parseRecords(Text, Peer.str());
+  if (!Values) {
+    logError(LogLevel::Error, "a record is refused", Values.error());
+    Context.Measured.recordRefused();
+    return;
+  }
+  for (const Json::Value &Value : *Values)
+    takeRecord(Context, Value, Batch);
+}
+
+void passOn(NodeContext &Context, const ConfigUpdate &Update) {
+  // Configuration is never dropped: the threads that read it can wait.
+  while (!Context.Updates.push(Update))
+    if (Context.Stop.sleep(config::DecisionPeriod))
+      return;
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/node/record_intake.h
@@ -0,0 +1,27 @@
+#ifndef SISKINSTAGE_NODE_RECORD_INTAKE_H
+#define SISKINSTAGE_NODE_RECORD_INTAKE_H
+
+#include "node/config_update.h"
+
+#include <json/value.h>
+#include <string>
+
+namespace siskinstage {
+
+struct NodeContext;
+
+/// Validates \p Value and adds it to \p Batch; a record with faults is logged,
+/// counted and left out.
+void takeRecord(NodeContext &Context, const Json::Value &Value,
+                RecordBatch &Batch);
+
+/// The same for a record as text, as another node passes it.
+void takeRecordText(NodeContext &Context, const std::string &Text,
+                    const Address &Peer, RecordBatch &Batch);
+
+/// Passes \p Update to the decision thread; waits for a place.
+void passOn(NodeContext &Context, const ConfigUpdate &Update);
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NODE_RECORD_INTAKE_H
--- a/src/node/request_flow.cpp
+++ b/src/node/request_flow.cpp
@@ -5,6 +5,7 @@
 #include "node/header_names.h"
 #include "node/node_context.h"
 #include "node/owner_forward.h"
+#include "node/peer_api.h"
 #include "node/target_gauge.h"
 #include "siskinstage/config.h"
 
@@ -88,6 +89,10 @@
 }
 
 void RequestFlow::answer() {
+  if (this->Request.Path.rfind(PeerPathStart, 0) == 0) {
+    this->serveInternal(peerAnswer(this->Context, this->Request));
+    return;
+  }
   if (!this->Now->Configured) {
     const bool Keyed = this->Request.Key.has_value();
     this->refuse(503, Keyed ? Outcome::Unknown : Outcome::NotRun, Step::Route,
@@ -95,7 +100,8 @@
     return;
   }
   if (this->Request.Path == EntriesPath) {
-    this->serveEntries();
+    this->serveInternal(
+        entriesAnswer(this->Context, this->Request, *this->Now));
     return;
   }
   if (this->Request.Key) {
@@ -113,13 +119,12 @@
     this->serveUnkeyed();
 }
 
-void RequestFlow::serveEntries() {
+void RequestFlow::serveInternal(const HttpResult<StoredAnswer> &Answer) {
   const auto Drained = this->Body.drain();
   if (!Drained) {
     this->refuseBody(Drained.error());
     return;
   }
-  const auto Answer = entriesAnswer(this->Context, this->Request, *this->Now);
   if (!Answer) {
     this->refuse(Answer.error().Status, Outcome::NotRun, Step::ReadRequest,
                  "caller", Answer.error().Reason);
--- a/src/node/request_flow.h
+++ b/src/node/request_flow.h
@@ -37,8 +37,8 @@
   void answer();
   /// Finds route and service. \returns false if it has refused.
   bool route();
-  /// Tells the caller which addresses to use.
-  void serveEntries();
+  /// Gives an answer that the node made itself.
+  void serveInternal(const HttpResult<StoredAnswer> &Answer);
   void serveUnkeyed();
   void serveKeyed(const RequestKey &Key);
   void serveOwned(const RequestKey &Key);
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -30,8 +30,8 @@
 ABSL_FLAG(std::string, max_connections, "2500",
           "Most connections of callers at once, 1 to 20000.");
 ABSL_FLAG(std::string, ready_wait_ms, "10000",
-          "Longest wait for a first configuration before the node says that "
-          "it is not ready for lack of one, 0 to 600000.");
+          "Longest wait for a comparison of revisions with the platform and "
+          "with nodes of two failure domains, 0 to 600000.");
 ABSL_FLAG(std::string, log_level, "info", "debug, info, warn or error.");
 ABSL_FLAG(std::string, log_format, "kv", "kv or json.");
 ABSL_FLAG(bool, print_settings, false,
--- /dev/null
+++ b/src/node/shared_records.cpp
@@ -0,0 +1,46 @@
+#include "node/shared_records.h"
+
+#include <mutex>
+
+namespace siskinstage {
+
+using ReadLock = std::shared_lock<std::shared_mutex>;
+
+RecordStore::Adoption SharedRecords::adopt(const Record &New) {
+  const std::unique_lock<std::shared_mutex> Guard(this->Lock);
+  return this->Store.adopt(New);
+}
+
+std::uint64_t SharedRecords::digest() const {
+  const ReadLock Guard(this->Lock);
+  return this->Store.digest();
+}
+
+std::vector<std::uint64_t> SharedRecords::bucketDigests() const {
+  const ReadLock Guard(this->Lock);
+  return this->Store.bucketDigests();
+}
+
+std::vector<std::shared_ptr<const std::string>>
+SharedRecords::bucketTexts(std::size_t Number) const {
+  const ReadLock Guard(this->Lock);
+  std::vector<std::shared_ptr<const std::string>> Texts;
+  for (const Record &Each : this->Store.bucket(Number))
+    Texts.push_back(Each.Text);
+  return Texts;
+}
+
+std::shared_ptr<const std::string>
+SharedRecords::text(const RecordKey &Key) const {
+  const ReadLock Guard(this->Lock);
+  const Record *Found = this->Store.find(Key);
+  return Found == nullptr ? nullptr : Found->Text;
+}
+
+Revision SharedRecords::revision(const RecordKey &Key) const {
+  const ReadLock Guard(this->Lock);
+  const Record *Found = this->Store.find(Key);
+  return Found == nullptr ? Revision{} : Found->Rev;
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/node/shared_records.h
@@ -0,0 +1,38 @@
+#ifndef SISKINSTAGE_NODE_SHARED_RECORDS_H
+#define SISKINSTAGE_NODE_SHARED_RECORDS_H
+
+#include "core/record_store.h"
+
+#include <memory>
+#include <shared_mutex>
+#include <string>
+#include <vector>
+
+namespace siskinstage {
+
+/// The records in force, written by the decision thread alone and read by the
+/// threads that pass them to other nodes.
+class SharedRecords {
+public:
+  RecordStore::Adoption adopt(const Record &New);
+  [[nodiscard]] std::uint64_t digest() const;
+  [[nodiscard]] std::vector<std::uint64_t> bucketDigests() const;
+  /// The texts of the records of one bucket.
+  [[nodiscard]] std::vector<std::shared_ptr<const std::string>>
+  bucketTexts(std::size_t Number) const;
+  /// The text of a record, null if it is not known.
+  [[nodiscard]] std::shared_ptr<const std::string>
+  text(const RecordKey &Key) const;
+  /// The revision in force, zero if the record is not known.
+  [[nodiscard]] Revision revision(const RecordKey &Key) const;
+  /// For the decision thread alone, which needs no lock to read.
+  [[nodiscard]] const RecordStore &unlocked() const { return this->Store; }
+
+private:
+  mutable std::shared_mutex Lock;
+  RecordStore Store;
+};
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NODE_SHARED_RECORDS_H
--- a/src/node/snapshot.h
+++ b/src/node/snapshot.h
@@ -30,6 +30,7 @@
   std::vector<TargetView> Targets;
   std::shared_ptr<ServiceGate> Gate;
   Duration Typical{}; ///< Usual latency, zero if not known.
+  Duration High{};    ///< Usual high latency, zero if not known.
 };
 
 using Services =
--- a/src/node/state_dump.cpp
+++ b/src/node/state_dump.cpp
@@ -19,6 +19,7 @@
                       : targetStateName(Target.Verdict.State);
   Dump["admitted"] = Target.Verdict.Admitted;
   Dump["kept_by_floor"] = Target.Verdict.KeptByFloor;
+  Dump["ejected_by_group"] = Target.Verdict.ByGroup;
   Dump["share"] = Target.Verdict.Share;
   Dump["reason"] = Target.Verdict.Reason;
   Dump["ejections"] = Target.Verdict.Ejections;
@@ -73,6 +74,48 @@
   return Dump;
 }
 
+Json::Value memberDump(const Member &Each) {
+  Json::Value Dump(Json::objectValue);
+  Dump["id"] = Each.Id.str();
+  Dump["address"] = Each.Where.str();
+  Dump["domain"] = Each.Domain.str();
+  Dump["state"] = memberStateName(Each.State);
+  Dump["process"] = static_cast<Json::UInt64>(Each.Process.Value);
+  Dump["life"] = static_cast<Json::UInt64>(Each.Lives.Value);
+  return Dump;
+}
+
+Json::Value membersDump(NodeContext &Context) {
+  const auto View = Context.Members.load();
+  Json::Value Dump(Json::arrayValue);
+  if (!View->Live.empty())
+    Dump.append(memberDump(View->Live.front())); // This node.
+  for (const Member &Each : View->All)
+    Dump.append(memberDump(Each));
+  return Dump;
+}
+
+Json::Value gossipDump(NodeContext &Context) {
+  const auto View = Context.Members.load();
+  const auto Number = [](std::uint64_t Value) {
+    return Json::Value(static_cast<Json::UInt64>(Value));
+  };
+  Json::Value Dump(Json::objectValue);
+  Dump["live"] = Number(View->Live.size());
+  Dump["suspect"] = Number(View->Counts.Suspect);
+  Dump["dead"] = Number(View->Counts.Dead);
+  Dump["suspicions"] = Number(View->Counts.Suspicions);
+  Dump["refutations"] = Number(View->Counts.Refutations);
+  Dump["slowness"] = View->Counts.Slowness;
+  Dump["bytes_sent"] = Number(Context.Traffic.BytesSent);
+  Dump["bytes_received"] = Number(Context.Traffic.BytesReceived);
+  Dump["sync_bytes"] = Number(Context.Traffic.SyncBytes);
+  Dump["refused"] = Number(Context.Traffic.Refused);
+  Dump["records_digest"] = Number(Context.Records.digest());
+  Dump["group_ejections"] = Number(Context.GroupEjections);
+  return Dump;
+}
+
 Json::Value keysDump(NodeContext &Context) {
   const KeyTable::Stats Stats = Context.Keys.stats();
   Json::Value Dump(Json::objectValue);
@@ -96,14 +139,8 @@
   Config["routes"] = static_cast<Json::UInt64>(Now->Routes->size());
   Config["accounts"] = static_cast<Json::UInt64>(Now->AccountRecords->size());
   Config["snapshot"] = static_cast<Json::UInt64>(Now->Version);
-  Json::Value &Members = Dump["members"] = Json::Value(Json::arrayValue);
-  for (const SteeringNode &Node : Now->Nodes) {
-    Json::Value Member(Json::objectValue);
-    Member["id"] = Node.Id.str();
-    Member["address"] = Node.Where.str();
-    Member["domain"] = Node.Domain.str();
-    Members.append(Member);
-  }
+  Dump["members"] = membersDump(Context);
+  Dump["gossip"] = gossipDump(Context);
   Json::Value &Services = Dump["services"] = Json::Value(Json::arrayValue);
   for (const auto &[Name, Service] : *Now->ServiceViews)
     Services.append(serviceDump(*Service));
--- a/src/node/target_exchange.cpp
+++ b/src/node/target_exchange.cpp
@@ -125,9 +125,7 @@
   if (MaySilence)
     Limit = std::min(Limit, Now + this->Order.SilentLimit);
   while (true) {
-    const auto Lines =
-        readHead(this->Taken.Connection, HeadKind::Answer, Limit,
-                 timeLeft(this->Order.Deadline), this->Order.Caller);
+    const auto Lines = this->awaitHead(Limit);
     if (!Lines) {
       const bool Malformed = std::holds_alternative<HttpRefusal>(Lines.error());
       ExchangeFailure Failed = this->failure(
@@ -152,6 +150,24 @@
   return MaySilence && bootNow() < this->Order.Deadline;
 }
 
+ReadResult<std::string> TargetExchange::awaitHead(Instant Limit) {
+  const auto Read = [this](Instant Until) {
+    return readHead(this->Taken.Connection, HeadKind::Answer, Until,
+                    timeLeft(this->Order.Deadline), this->Order.Caller);
+  };
+  const Instant Overdue = bootNow() + this->Order.OverdueAfter;
+  if (this->Order.OverdueAfter == Duration::zero() || Overdue >= Limit)
+    return Read(Limit);
+  auto Lines = Read(Overdue);
+  if (Lines || !this->Taken.Connection.buffered().empty())
+    return Lines;
+  const auto *Fault = std::get_if<WireFault>(&Lines.error());
+  if (Fault == nullptr || Fault->What != WireFault::Kind::Timeout)
+    return Lines;
+  this->Order.OnOverdue();
+  return Read(Limit);
+}
+
 ExchangeResult<void> TargetExchange::takeHead(const std::string &Lines) {
   auto Parsed = parseAnswer(Lines);
   if (!Parsed)
--- a/src/node/target_exchange.h
+++ b/src/node/target_exchange.h
@@ -8,6 +8,7 @@
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -25,6 +26,9 @@
   const Wire *Caller = nullptr;
   /// The longest wait for the first byte on a connection used before.
   Duration SilentLimit{};
+  /// Called once if no answer has begun after this time; zero for never.
+  Duration OverdueAfter{};
+  std::function<void()> OnOverdue;
 };
 
 /// How one try failed.
@@ -89,6 +93,8 @@
   ExchangeResult<void> send();
   ExchangeResult<void> sendRest(bool Chunked);
   ExchangeResult<void> readAnswerHead();
+  /// Reads the head's lines; says so when it is overdue, and waits on.
+  ReadResult<std::string> awaitHead(Instant Limit);
   ExchangeResult<void> takeHead(const std::string &Lines);
   void readTargetHeaders();
   ExchangeFailure failure(AttemptFailure::Kind What, const ReadFault &Fault);
--- a/tests/property/membership_property_test.cpp
+++ b/tests/property/membership_property_test.cpp
@@ -200,11 +200,9 @@
   auto Farewell = Fleet.at(2).leave(Instant{});
   EXPECT_FALSE(Farewell.empty());
   for (const OutgoingGossip &Each : Farewell)
-    EXPECT_TRUE(std::any_of(Each.Message.Updates.begin(),
-                            Each.Message.Updates.end(),
-                            [](const Member &Claim) {
-                              return Claim.State == MemberState::Left;
-                            }));
+    EXPECT_TRUE(std::any_of(
+        Each.Message.Updates.begin(), Each.Message.Updates.end(),
+        [](const Member &Claim) { return Claim.State == MemberState::Left; }));
 }
 
 RC_GTEST_PROP(MembershipProperty, ConvergesOnceFaultsEnd, ()) {
--- /dev/null
+++ b/tests/unit/gossip_test.cpp
@@ -0,0 +1,108 @@
+#include "core/gossip_codec.h"
+#include "core/gossip_seal.h"
+#include "net/json_rpc.h"
+#include "siskinstage/config.h"
+
+#include <gtest/gtest.h>
+
+namespace siskinstage {
+namespace {
+
+GossipMessage sample(GossipBody Body) {
+  GossipMessage Message;
+  Message.From = {
+      Address("10.0.0.1:80"), NodeId("n1"), FailureDomain("a"), {7}, {3},
+      MemberState::Alive,     Address()};
+  Message.Body = std::move(Body);
+  Message.Updates.push_back(Message.From);
+  Message.Updates.back().State = MemberState::Suspect;
+  Message.Updates.back().SuspectedBy = Address("10.0.0.2:80");
+  Message.RecordsDigest = 0xffffffffffffffffULL;
+  Message.MembersDigest = 5;
+  return Message;
+}
+
+TEST(GossipCodec, EveryBodyTravelsThroughJsonRpc) {
+  const GossipBody Bodies[] = {
+      Ping{1}, PingRequest{2, Address("10.0.0.3:80")}, Ack{3},
+      RecordNews{{RecordKind::Route, "r"}, {4}, "{}"},
+      TargetReport{ServiceName("s"), TargetId("t"), ReportKind::Leaving}};
+  for (const GossipBody &Body : Bodies) {
+    const GossipMessage Sent = sample(Body);
+    const std::string Text = gossipNotification(encodeGossip(Sent));
+    Json::Value Params;
+    ASSERT_TRUE(readGossipNotification(Text, Params)) << Text;
+    const auto Got = decodeGossip(Params);
+    ASSERT_TRUE(Got) << Got.error().text();
+    EXPECT_EQ(Got->From, Sent.From);
+    EXPECT_EQ(Got->Updates, Sent.Updates);
+    EXPECT_EQ(Got->Body.index(), Body.index());
+    EXPECT_EQ(Got->RecordsDigest, Sent.RecordsDigest);
+    EXPECT_EQ(encodeGossip(*Got), encodeGossip(Sent));
+  }
+}
+
+TEST(GossipCodec, RefusesEachFieldOfTheWrongShape) {
+  const Json::Value Good = encodeGossip(sample(Ping{1}));
+  for (const std::string &Field : Good.getMemberNames()) {
+    Json::Value Bad = Good;
+    Bad[Field] = Json::Value(Json::objectValue);
+    EXPECT_FALSE(decodeGossip(Bad)) << Field;
+  }
+  for (const char *Text : {"", "[]", "{}", "null", "{\"jsonrpc\":\"2.0\"}",
+                           "{\"jsonrpc\":\"2.0\",\"method\":\"other\"}"}) {
+    Json::Value Params;
+    EXPECT_FALSE(readGossipNotification(Text, Params)) << Text;
+  }
+}
+
+TEST(GossipCodec, AFullMessageFitsIntoADatagram) {
+  GossipMessage Message = sample(Ping{1ULL << 40U});
+  Message.Updates.assign(config::GossipUpdatesPerMessage + 1,
+                         {Address("255.255.255.255:65535"),
+                          NodeId("node-with-a-long-name-4300"),
+                          FailureDomain("region-1-domain-8"),
+                          {~0ULL},
+                          {1ULL << 50U},
+                          MemberState::Suspect,
+                          Address("255.255.255.255:65535")});
+  const auto Ring = KeyRing::parse("k:00112233445566778899aabbccddeeff");
+  GossipSeal Seal(*Ring, {~0ULL});
+  EXPECT_LE(
+      Seal.seal(gossipNotification(encodeGossip(Message)), 1ULL << 41U).size(),
+      config::MaxDatagramBytes);
+}
+
+TEST(GossipSeal, RefusesForgedRepeatedAndOldDatagrams) {
+  const auto Ring = KeyRing::parse("k:00112233445566778899aabbccddeeff");
+  const auto Other = KeyRing::parse("k:ffeeddccbbaa99887766554433221100");
+  GossipSeal Sender(*Ring, {1});
+  GossipSeal Stranger(*Other, {2});
+  GossipSeal Receiver(*Ring, {3});
+  const std::uint64_t Now = 1'700'000'000'000;
+  const std::string Good = Sender.seal("hello", Now);
+  EXPECT_EQ(*Receiver.open(Good, Now), "hello");
+  EXPECT_FALSE(Receiver.open(Good, Now));
+  EXPECT_FALSE(Receiver.open(Stranger.seal("hello", Now), Now));
+  EXPECT_FALSE(Receiver.open(Sender.seal("hello", Now), Now + 61'000));
+  for (std::size_t I = 0; I < Good.size(); ++I) {
+    std::string Forged = Sender.seal("hello", Now);
+    Forged[I] ^= 1;
+    EXPECT_FALSE(Receiver.open(Forged, Now)) << I;
+  }
+  EXPECT_FALSE(Receiver.open("", Now));
+}
+
+TEST(GossipSeal, TakesDatagramsOutOfOrderOnce) {
+  const auto Ring = KeyRing::parse("k:00112233445566778899aabbccddeeff");
+  GossipSeal Sender(*Ring, {1});
+  GossipSeal Receiver(*Ring, {3});
+  const std::string First = Sender.seal("1", 1000);
+  const std::string Second = Sender.seal("2", 1000);
+  EXPECT_TRUE(Receiver.open(Second, 1000));
+  EXPECT_TRUE(Receiver.open(First, 1000));
+  EXPECT_FALSE(Receiver.open(First, 1000));
+}
+
+} // namespace
+} // namespace siskinstage
