--- /dev/null
+++ b/bench/detection.py
@@ -0,0 +1,85 @@
+"""How long a sick target keeps getting work, from the fault to the last piece
+of work before a second without any; beside two simpler detectors."""
+
+import statistics
+import time
+
+from fleet import Fleet, finish_load, start_load
+from report_lines import Report
+
+SEED = 41
+NODES = 40
+SEEDS = 5
+RATE = 300
+COST_US = 8000
+WATCH_SECONDS = 4.5
+QUIET_SECONDS = 1.0
+FAULTS = {"fails_all": "fail=1", "never_answers": "silent=1",
+          "ten_times_slower": "slow=10", "half_fails": "fail=0.5"}
+HEALTHY = "fail=0&silent=0&slow=1"
+BOUNDS = {  # seconds, by example deployment
+    "nl-west": {"fails_all": 1, "never_answers": 1, "ten_times_slower": 3,
+                "half_fails": 3},
+    "norte": dict.fromkeys(FAULTS, 5)}
+SERVICES = {"nl-west": ("price-board", "/boards/1"),
+            "norte": ("catalogue", "/catalogue/1")}
+
+
+def detection_time(fleet, target, fault):
+    """Seconds until the target is left alone, or the whole watch."""
+    fleet.work_times(target)
+    fleet.behave(target, fault)
+    start = time.clock_gettime(time.CLOCK_BOOTTIME)
+    time.sleep(WATCH_SECONDS + QUIET_SECONDS)
+    fleet.behave(target, HEALTHY)
+    last = start
+    for at in fleet.work_times(target):
+        if at - last >= QUIET_SECONDS:
+            break
+        last = max(last, at)
+    return last - start
+
+
+def run(example, detector, seeds):
+    """Detection times by fault, in seconds."""
+    service, path = SERVICES[example]
+    times = {name: [] for name in FAULTS}
+    with Fleet(example=example, nodes=NODES,
+               node_flags=[f"--detector={detector}"]) as fleet:
+        seconds = 4 + seeds * len(FAULTS) * (WATCH_SECONDS + QUIET_SECONDS + 0.2)
+        load = start_load(nodes=fleet.node_list(), service=service, path=path,
+                          rate=RATE, seconds=seconds, cost_us=COST_US,
+                          accounts=40, connections=200, seed=SEED)
+        time.sleep(4)
+        targets = fleet.targets_of(service)
+        turn = 0
+        for _ in range(seeds):
+            for name, fault in FAULTS.items():
+                target = targets[turn % len(targets)]
+                times[name].append(detection_time(fleet, target, fault))
+                turn += 1
+        figures = finish_load(load)
+    return times, figures
+
+
+def main():
+    report = Report("detection", SEED)
+    for example, bounds in BOUNDS.items():
+        times, figures = run(example, "group", SEEDS)
+        for name, values in times.items():
+            report.add(f"{example}_{name}_worst", max(values), "s",
+                       at_most=bounds[name],
+                       median=round(statistics.median(values), 3))
+        report.add(f"{example}_answered", figures["answered"] / figures["sent"],
+                   "share")
+    for detector in ("own", "probes"):
+        times, figures = run("nl-west", detector, 1)
+        for name, values in times.items():
+            report.add(f"baseline_{detector}_{name}", max(values), "s")
+        report.add(f"baseline_{detector}_answered",
+                   figures["answered"] / figures["sent"], "share")
+    report.finish()
+
+
+if __name__ == "__main__":
+    main()
--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -24,6 +24,9 @@
 inline constexpr std::chrono::milliseconds HeaderReadTimeout = 10s;
 inline constexpr std::chrono::milliseconds CallerIdleTimeout = 75s;
 inline constexpr std::chrono::milliseconds CallerWriteTimeout = 30s;
+/// After the last answer, what the caller still sends is read so long, so that
+/// the answer is not lost with a reset.
+inline constexpr std::chrono::milliseconds LingerTime = 500ms;
 inline constexpr int CallerThreadStackBytes = 256 * 1024;
 inline constexpr int CallerListenBacklog = 1024;
 inline constexpr std::chrono::milliseconds DefaultDeadline = 10s;
@@ -154,11 +157,22 @@
 inline constexpr std::chrono::milliseconds ReportGap = 50ms;
 inline constexpr std::size_t FastReporters = 2;
 inline constexpr std::size_t CarefulReporters = 3;
+inline constexpr std::size_t FastVerdicts = 1;
+inline constexpr std::size_t CarefulVerdicts = 2;
 /// A report that a target can't be reached counts from so many failure domains.
 inline constexpr std::size_t UnreachableDomains = 2;
 
+// Requests that crash targets.
+inline constexpr std::size_t CrashesToRefuse = 2;
+inline constexpr std::size_t MaxSuspectRequests = 10'000;
+inline constexpr std::chrono::milliseconds QuarantineLength = 600s;
+inline constexpr std::size_t MaxInnocentRequests = 4096;
+inline constexpr std::chrono::milliseconds InnocenceLength = 60s;
+
 // Shutdown.
 inline constexpr std::chrono::milliseconds ShutdownNotice = 500ms;
+/// While draining, an idle connection is kept so long for one more request.
+inline constexpr std::chrono::milliseconds DrainIdleLimit = 5s;
 inline constexpr std::chrono::milliseconds ShutdownLimit = 60s;
 
 } // namespace siskinstage::config
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -71,13 +71,15 @@
     """The processes of one run. Use it in a with statement."""
 
     def __init__(self, example="nl-west", nodes=1, log_dir=None, records=None,
-                 slots=3, log_level="info", through_fault=False):
+                 slots=3, log_level="info", through_fault=False,
+                 node_flags=()):
         self.example = example
         self.records = records or read_records(ROOT / "examples" / example)
         self.node_count = nodes
         self.slots = slots
         self.log_level = log_level
         self.through_fault = through_fault
+        self.node_flags = node_flags
         self.log_dir = pathlib.Path(log_dir or ROOT / "out" / "logs")
         self.processes = {}
         self.target_index = {}  # target address in the record -> index
@@ -221,6 +223,11 @@
     def target_stats(self):
         return json.loads(call(TARGET_CONTROL_PORT, "GET", "/stats")[1])
 
+    def work_times(self, target):
+        """Boot-clock seconds at which the target began work since last asked."""
+        text = call(TARGET_CONTROL_PORT, "GET", f"/work?target={target}")[1]
+        return [ms / 1000 for ms in json.loads(text)]
+
     def fault(self, link, query):
         call(FAULT_CONTROL_PORT, "POST", f"/rule?link={link}&{query}")
 
@@ -239,7 +246,8 @@
             f"--operator_listen=127.0.0.1:{OPERATOR_PORT + index}",
             f"--platform=127.0.0.1:{PLATFORM_PORT}",
             f"--id=node-{index}", f"--domain={self.domain_of(index)}",
-            f"--fleet_keys={FLEET_KEYS}", f"--log_level={self.log_level}"])
+            f"--fleet_keys={FLEET_KEYS}", f"--log_level={self.log_level}",
+            *self.node_flags])
 
     def ready(self, index):
         status, _ = call(OPERATOR_PORT + index, "GET", "/readyz", timeout=2)
--- a/src/core/detection_limits.h
+++ b/src/core/detection_limits.h
@@ -14,6 +14,7 @@
   double FailureFraction = 0;
   double SlowFactor = 0;
   std::size_t Reporters = 0; ///< Nodes whose reports suffice together.
+  std::size_t Verdicts = 0;  ///< Nodes whose ejections suffice together.
 
   static DetectionLimits of(DetectionPreference Preference);
 };
--- a/src/core/gossip_codec.cpp
+++ b/src/core/gossip_codec.cpp
@@ -60,6 +60,11 @@
     this->Into["w"] = static_cast<int>(Body.What);
     this->Into["s"] = Body.Streak;
   }
+  void operator()(const CrashNews &Body) const {
+    this->Into["k"] = "crash";
+    this->Into["s"] = number(Body.Print.Value);
+    this->Into["t"] = Body.Target.str();
+  }
 };
 
 Result<GossipBody> readRecordNews(const Json::Value &Value) {
@@ -80,7 +85,7 @@
 }
 
 Result<GossipBody> readTargetReport(const Json::Value &Value) {
-  constexpr int Kinds = static_cast<int>(ReportKind::Leaving) + 1;
+  constexpr int Kinds = static_cast<int>(ReportKind::Ejected) + 1;
   if (!isText(Value["v"]))
     return bad("v");
   if (!isText(Value["t"]))
@@ -110,6 +115,8 @@
     return Ping{Sequence};
   if (Kind == "ack")
     return Ack{Sequence};
+  if (Kind == "crash" && isText(Value["t"]))
+    return CrashNews{{Sequence}, TargetId(Value["t"].asString())};
   if (Kind != "request")
     return bad("k");
   if (!isAddress(Value["t"]))
--- a/src/core/gossip_message.h
+++ b/src/core/gossip_message.h
@@ -2,6 +2,7 @@
 #define SISKINSTAGE_CORE_GOSSIP_MESSAGE_H
 
 #include "core/member.h"
+#include "core/quarantine.h"
 #include "core/report_kind.h"
 #include "siskinstage/record.h"
 #include "siskinstage/units.h"
@@ -45,8 +46,14 @@
   std::uint32_t Streak = 0;
 };
 
+/// Tells that a target broke off at a request.
+struct CrashNews {
+  RequestPrint Print;
+  TargetId Target;
+};
+
 using GossipBody =
-    std::variant<Ping, PingRequest, Ack, RecordNews, TargetReport>;
+    std::variant<Ping, PingRequest, Ack, RecordNews, TargetReport, CrashNews>;
 
 /// One datagram between nodes.
 struct GossipMessage {
--- a/src/core/report_kind.h
+++ b/src/core/report_kind.h
@@ -8,6 +8,7 @@
   Failing,     ///< It ran work and failed, was slow or never answered.
   Unreachable, ///< It could not be reached from there.
   Leaving,     ///< It takes no new work.
+  Ejected,     ///< It was ejected there on the reports of several nodes.
 };
 
 } // namespace siskinstage
--- a/src/core/service_health.cpp
+++ b/src/core/service_health.cpp
@@ -43,12 +43,27 @@
   if (Found == this->Targets.end())
     return;
   const DetectionLimits Limits = DetectionLimits::of(this->Record.Detection);
+  if (this->How == Detector::ProbesOnly) {
+    this->observeProbe(Found->second.Health, Seen, Limits);
+    return;
+  }
   Found->second.Health.observe(Seen, Limits, this->Usual);
 }
 
+void ServiceHealth::observeProbe(TargetHealth &Health, Observation Seen,
+                                 const DetectionLimits &Limits) {
+  if (!Seen.FromProbe && Seen.What != Evidence::Leaving)
+    return;
+  // To this detector a probe is as good as work.
+  Seen.FromProbe = false;
+  Health.observe(Seen, Limits, this->Usual);
+}
+
 void ServiceHealth::report(const TargetId &Target, const PeerReport &Report) {
   const auto Found = this->Targets.find(Target);
-  if (Found == this->Targets.end())
+  const bool Heeded =
+      this->How == Detector::Group || Report.What == ReportKind::Leaving;
+  if (Found == this->Targets.end() || !Heeded)
     return;
   const DetectionLimits Limits = DetectionLimits::of(this->Record.Detection);
   Found->second.Health.report(Report, Limits, this->OwnDomain);
@@ -108,6 +123,10 @@
     if (Leaves && !Each.ReportedLeaving)
       Reports.push_back({this->Record.Name, Id, ReportKind::Leaving, 0});
     Each.ReportedLeaving = Leaves;
+    if (Health.byGroup() && Health.ejections() != Each.ReportedEjections) {
+      Each.ReportedEjections = Health.ejections();
+      Reports.push_back({this->Record.Name, Id, ReportKind::Ejected, 0});
+    }
     const bool Changed = Health.streak() != Each.ReportedStreak;
     if (!Changed || Now - Each.ReportedAt < config::ReportGap)
       continue;
--- a/src/core/service_health.h
+++ b/src/core/service_health.h
@@ -25,12 +25,20 @@
   bool operator==(const TargetVerdict &) const = default;
 };
 
+/// What a node lets count; the last two are kept to compare with.
+enum class Detector {
+  Group,      ///< Its own evidence and the reports of the group.
+  OwnOnly,    ///< Its own evidence alone.
+  ProbesOnly, ///< Its probes alone.
+};
+
 /// The health of all targets of one service, as this node sees it.
 class ServiceHealth {
 public:
   /// \param OwnDomain the failure domain of this node.
-  explicit ServiceHealth(FailureDomain OwnDomain = {})
-      : OwnDomain(std::move(OwnDomain)) {}
+  explicit ServiceHealth(FailureDomain OwnDomain = {},
+                         Detector How = Detector::Group)
+      : OwnDomain(std::move(OwnDomain)), How(How) {}
 
   /// Takes over a new version of the record; targets that stay keep their
   /// history.
@@ -54,14 +62,18 @@
     bool ListedLeaving = false;
     std::uint32_t ReportedStreak = 0;
     bool ReportedLeaving = false;
+    std::uint32_t ReportedEjections = 0;
     Instant ReportedAt;
   };
   FailureDomain OwnDomain;
+  Detector How;
   ServiceRecord Record;
   std::map<TargetId, Tracked> Targets;
   UsualLatency Usual;
 
   void updateUsual();
+  void observeProbe(TargetHealth &Health, Observation Seen,
+                    const DetectionLimits &Limits);
 };
 
 } // namespace siskinstage
--- a/src/core/target_health.cpp
+++ b/src/core/target_health.cpp
@@ -79,9 +79,11 @@
 DetectionLimits DetectionLimits::of(DetectionPreference Preference) {
   if (Preference == DetectionPreference::Fast)
     return {config::FastConsecutiveFailures, config::FastFailureFraction,
-            config::SlowFactorFast, config::FastReporters};
+            config::SlowFactorFast, config::FastReporters,
+            config::FastVerdicts};
   return {config::CarefulConsecutiveFailures, config::CarefulFailureFraction,
-          config::SlowFactorCareful, config::CarefulReporters};
+          config::SlowFactorCareful, config::CarefulReporters,
+          config::CarefulVerdicts};
 }
 
 void TargetHealth::observe(const Observation &Seen,
@@ -154,11 +156,31 @@
     this->LeavingSeen = Report.At;
     return;
   }
+  if (Report.What == ReportKind::Ejected) {
+    this->takeVerdict(Report, Limits);
+    return;
+  }
   this->Reports[Report.From] = Report;
   if (this->Now != State::Ejected)
     this->judgeReports(Report.At, Limits, OwnDomain);
 }
 
+void TargetHealth::takeVerdict(const PeerReport &Report,
+                               const DetectionLimits &Limits) {
+  // Reports may have been taken back before all of them were here.
+  this->Verdicts[Report.From] = Report.At;
+  const auto Fresh = std::count_if(
+      this->Verdicts.begin(), this->Verdicts.end(), [&](const auto &Each) {
+        return Report.At - Each.second <= config::ReportMemory;
+      });
+  if (this->Now == State::Ejected ||
+      static_cast<std::size_t>(Fresh) < Limits.Verdicts)
+    return;
+  this->eject(Report.At, false,
+              std::to_string(Fresh) +
+                  " nodes ejected it on the reports of several");
+}
+
 void TargetHealth::judgeReports(Instant At, const DetectionLimits &Limits,
                                 const FailureDomain &OwnDomain) {
   std::uint32_t Failures = 0;
@@ -204,6 +226,7 @@
   this->Now = State::Ejected;
   this->ByGroup = Group;
   this->Reports.clear();
+  this->Verdicts.clear();
   this->Why = std::move(Reason);
 }
 
--- a/src/core/target_health.h
+++ b/src/core/target_health.h
@@ -69,6 +69,7 @@
   std::uint32_t Streak = 0;
   ReportKind Kind = ReportKind::Failing;
   std::map<Address, PeerReport> Reports;
+  std::map<Address, Instant> Verdicts; ///< Who ejected it, and when.
   std::uint32_t Ejections = 0;
   Instant LastEjection;
   Instant Until;
@@ -77,6 +78,7 @@
   void noteLeaving(const Observation &Seen);
   void note(const Observation &Seen, bool Failed);
   void judge(const Observation &Seen, const DetectionLimits &Limits);
+  void takeVerdict(const PeerReport &Report, const DetectionLimits &Limits);
   void judgeReports(Instant At, const DetectionLimits &Limits,
                     const FailureDomain &OwnDomain);
   [[nodiscard]] double failureFraction() const;
--- a/src/net/wire.cpp
+++ b/src/net/wire.cpp
@@ -174,6 +174,18 @@
   this->close();
 }
 
+void Wire::finish(Instant Deadline) {
+  try {
+    this->Socket.shutdownSend();
+  } catch (const Poco::Exception &) {
+    this->close();
+    return; // It was aborted, or the peer is gone.
+  }
+  while (this->fill(Deadline))
+    this->consume(this->buffered().size());
+  this->close();
+}
+
 void Wire::close() {
   try {
     this->Socket.close();
--- a/src/net/wire.h
+++ b/src/net/wire.h
@@ -57,6 +57,9 @@
   /// Ends the connection at once with a reset, so that the peer can't take a
   /// cut answer for a whole one.
   void abort();
+  /// Ends this side and reads until the peer ends too or \p Deadline passes, so
+  /// that the last bytes written are not lost with a reset.
+  void finish(Instant Deadline);
   void close();
   [[nodiscard]] std::string peer() const;
 
--- a/src/node/caller_connection.cpp
+++ b/src/node/caller_connection.cpp
@@ -4,6 +4,7 @@
 #include "node/request_flow.h"
 #include "siskinstage/config.h"
 
+#include <algorithm>
 #include <exception>
 
 namespace siskinstage {
@@ -45,6 +46,7 @@
   try {
     while (this->serveNext(Caller))
       Caller.shrink();
+    Caller.finish(bootNow() + config::LingerTime);
   } catch (const std::exception &Fault) {
     logEvent(LogLevel::Error, "a caller's connection ended on an exception",
              {{"reason", Fault.what()}});
@@ -53,12 +55,7 @@
 }
 
 bool CallerConnection::serveNext(Wire &Caller) {
-  // While draining, an idle connection is closed soon; a request that is
-  // already on its way is still served.
-  const Duration Idle = this->Context.Draining.load()
-                            ? Duration(config::ShutdownNotice)
-                            : Duration(config::CallerIdleTimeout);
-  const auto Lines = this->awaitHead(Caller, Idle);
+  const auto Lines = this->awaitHead(Caller);
   if (Lines)
     return this->serveHead(Caller, *Lines);
   if (const auto *Malformed = std::get_if<HttpRefusal>(&Lines.error()))
@@ -69,11 +66,16 @@
   return false;
 }
 
-ReadResult<std::string> CallerConnection::awaitHead(Wire &Caller,
-                                                    Duration Idle) {
-  const Instant Limit = bootNow() + Idle;
+ReadResult<std::string> CallerConnection::awaitHead(Wire &Caller) {
+  Instant Limit = bootNow() + config::CallerIdleTimeout;
+  bool Draining = false;
   while (true) {
-    // Looks up now and then, to see that the node is draining.
+    // A caller may just be sending on a connection that looks idle, so that a
+    // draining node does not close it at once.
+    if (!Draining && this->Context.Draining.load()) {
+      Draining = true;
+      Limit = std::min(Limit, bootNow() + config::DrainIdleLimit);
+    }
     const Instant Look = std::min(Limit, bootNow() + config::ShutdownNotice);
     auto Lines =
         readHead(Caller, HeadKind::Request, Look, config::HeaderReadTimeout);
@@ -82,7 +84,7 @@
     const auto *Fault = std::get_if<WireFault>(&Lines.error());
     const bool Waiting =
         Fault != nullptr && Fault->What == WireFault::Kind::Timeout;
-    if (!Waiting || bootNow() >= Limit || this->Context.Draining.load())
+    if (!Waiting || bootNow() >= Limit)
       return Lines;
   }
 }
--- a/src/node/caller_connection.h
+++ b/src/node/caller_connection.h
@@ -22,7 +22,7 @@
 
   /// Serves one request. \returns whether the connection goes on.
   bool serveNext(Wire &Caller);
-  ReadResult<std::string> awaitHead(Wire &Caller, Duration Idle);
+  ReadResult<std::string> awaitHead(Wire &Caller);
   bool serveHead(Wire &Caller, const std::string &Lines);
 };
 
--- a/src/node/caller_server.cpp
+++ b/src/node/caller_server.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/TCPServerConnectionFactory.h>
+#include <thread>
 
 namespace siskinstage {
 
@@ -29,16 +30,17 @@
 
 } // namespace
 
-CallerServer::CallerServer(int MaxConnections)
-    : Pool("callers", IdleThreads, MaxConnections + 1, ThreadIdleSeconds,
-           config::CallerThreadStackBytes) {}
+CallerServer::CallerServer(NodeContext &Context)
+    : Pool("callers", IdleThreads, Context.Set.MaxConnections + 1,
+           ThreadIdleSeconds, config::CallerThreadStackBytes),
+      Context(Context) {}
 
 Result<std::unique_ptr<CallerServer>>
 CallerServer::start(NodeContext &Context) {
   const Settings &Set = Context.Set;
-  std::unique_ptr<CallerServer> New(new CallerServer(Set.MaxConnections));
+  std::unique_ptr<CallerServer> New(new CallerServer(Context));
   try {
-    Poco::Net::ServerSocket Socket;
+    Poco::Net::ServerSocket &Socket = New->Socket;
     Socket.bind(Poco::Net::SocketAddress(Set.Listen.str()), true, false);
     Socket.listen(config::CallerListenBacklog);
     auto *Params = new Poco::Net::TCPServerParams;
@@ -53,6 +55,15 @@
   return New;
 }
 
-void CallerServer::stopAccepting() { this->Server->stop(); }
+void CallerServer::stopAccepting() {
+  this->Server->stop();
+  while (this->Socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+    const Poco::Net::StreamSocket Late = this->Socket.acceptConnection();
+    std::thread([this, Late] {
+      CallerConnection(Late, this->Context).run();
+    }).detach();
+  }
+  this->Socket.close();
+}
 
 } // namespace siskinstage
--- a/src/node/caller_server.h
+++ b/src/node/caller_server.h
@@ -3,6 +3,7 @@
 
 #include "siskinstage/error.h"
 
+#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
 #include <memory>
@@ -16,14 +17,17 @@
 public:
   static Result<std::unique_ptr<CallerServer>> start(NodeContext &Context);
 
-  /// Takes no new connections; open ones go on.
+  /// Takes no new connections; open ones go on, and so do those that were
+  /// connected but not yet accepted.
   void stopAccepting();
 
 private:
   Poco::ThreadPool Pool;
+  NodeContext &Context;
+  Poco::Net::ServerSocket Socket;
   std::unique_ptr<Poco::Net::TCPServer> Server;
 
-  explicit CallerServer(int MaxConnections);
+  explicit CallerServer(NodeContext &Context);
 };
 
 } // namespace siskinstage
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -129,7 +129,9 @@
     this->Next.ServiceViews = Views;
     return;
   }
-  Held &Is = this->Services.try_emplace(Name, Held{this->Context.Set.Domain})
+  Held &Is = this->Services
+                 .try_emplace(Name, Held{this->Context.Set.Domain,
+                                         this->Context.Set.How})
                  .first->second;
   if (!Is.Gate)
     Is.Gate =
--- a/src/node/decision_loop.h
+++ b/src/node/decision_loop.h
@@ -26,7 +26,7 @@
 private:
   /// Health and shared objects of one service.
   struct Held {
-    explicit Held(const FailureDomain &Own) : Health(Own) {}
+    Held(const FailureDomain &Own, Detector How) : Health(Own, How) {}
 
     ServiceHealth Health;
     std::vector<Address> Group; ///< The other nodes that serve it.
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <thread>
+#include <xxhash.h>
 
 namespace siskinstage {
 
@@ -158,6 +159,8 @@
     Target.Gauge->SaidLeaving.store(true);
     this->observe(Target, Evidence::Leaving, Took);
   }
+  if (!Exchange.saidNotRun())
+    this->Context.Suspects.answered(this->Print, bootNow());
   if (Exchange.saidNotRun())
     this->observe(Target, Evidence::Shed, Took);
   else if (Exchange.answer().Status >= 500)
@@ -166,12 +169,29 @@
     this->observe(Target, Evidence::Success, Took);
 }
 
+RequestPrint Dispatcher::printOf() const {
+  const CallerRequest &Request = *this->Order.Request;
+  const std::string Text = Request.Head.getMethod() + "\n" + Request.Host +
+                           "\n" + Request.Head.getURI() + "\n" +
+                           std::to_string(this->Order.Body->hash());
+  return {XXH3_64bits(Text.data(), Text.size())};
+}
+
+void Dispatcher::noteCrash(const TargetView &Target) {
+  if (this->Context.Suspects.crashed(this->Print, Target.Spec.Id, bootNow()))
+    this->Context.GossipOrders.push(CrashNews{this->Print, Target.Spec.Id});
+}
+
 void Dispatcher::noteFailure(const TargetView &Target,
                              const ExchangeFailure &Failed, Duration Took) {
   this->Context.Measured.attemptFailed(Failed.Attempt.What);
   if (Failed.CallerGone ||
       Failed.Attempt.What == AttemptFailure::Kind::DeadlinePast)
     return;
+  const bool BrokeOff = Failed.Attempt.BytesSent && !Failed.TimedOut &&
+                        Failed.Attempt.What != AttemptFailure::Kind::BadAnswer;
+  if (BrokeOff)
+    this->noteCrash(Target);
   if (Failed.StaleReuse) {
     // The connection is at fault; the others may be as silent. The target may
     // be tried again on a new one.
@@ -237,6 +257,7 @@
 
 DispatchEnd Dispatcher::run() {
   this->prepareHead();
+  this->Print = this->printOf();
   this->Order.Service->Gate->firstTry();
   KeyOwner &Keys = this->Context.Keys;
   const std::string &Key = this->Order.OwnedKey;
@@ -247,6 +268,9 @@
     TargetLease Lease = std::move(*Entered);
     if (this->Order.Caller != nullptr && this->Order.Caller->peerGone())
       return CallerGone{};
+    if (this->Context.Suspects.refuses(this->Print, bootNow()))
+      return this->refuse(503, Step::Limit, "quarantine",
+                          "targets crashed at this request");
     if (!Key.empty() && !Keys.beginDispatch(Key))
       return this->refuse(503, Step::Key, Key, "the key is not free");
 
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -1,6 +1,7 @@
 #ifndef SISKINSTAGE_NODE_DISPATCHER_H
 #define SISKINSTAGE_NODE_DISPATCHER_H
 
+#include "core/quarantine.h"
 #include "core/repeatability.h"
 #include "node/caller_request.h"
 #include "node/refusal.h"
@@ -67,6 +68,10 @@
   [[nodiscard]] Duration silentLimit() const;
   /// Time after which a request without an answer counts against its target.
   [[nodiscard]] Duration overdueAfter() const;
+  RequestPrint Print;
+
+  [[nodiscard]] RequestPrint printOf() const;
+  void noteCrash(const TargetView &Target);
   /// Notes evidence of a finished try.
   void noteAnswer(const TargetView &Target, TargetExchange &Exchange,
                   Duration Took);
--- a/src/node/gossip_loop.cpp
+++ b/src/node/gossip_loop.cpp
@@ -118,10 +118,18 @@
         ReportArrival{Report->Service, Report->Target,
                       PeerReport{Message.From.Where, Message.From.Domain,
                                  Report->What, Report->Streak, bootNow()}});
+  else if (const auto *Crash = std::get_if<CrashNews>(&Message.Body))
+    this->takeCrash(*Crash);
   else
     this->compareDigests(Message);
 }
 
+void GossipLoop::takeCrash(const CrashNews &News) {
+  // What is new here is passed on; so it reaches every node.
+  if (this->Context.Suspects.crashed(News.Print, News.Target, bootNow()))
+    this->obey(News);
+}
+
 void GossipLoop::takeNews(const RecordNews &News, const Member &From) {
   if (News.Rev <= this->Context.Records.revision(News.Key))
     return;
@@ -178,6 +186,11 @@
   this->Members.setSeeds(Order.Seeds);
 }
 
+void GossipLoop::obey(const CrashNews &Order) {
+  for (const Address &To : this->Members.sample(config::NewsFanout))
+    this->send(To, this->Members.compose(Order));
+}
+
 void GossipLoop::obey(const std::vector<Member> &Table) {
   this->Members.merge(Table, bootNow());
 }
--- a/src/node/gossip_loop.h
+++ b/src/node/gossip_loop.h
@@ -41,11 +41,13 @@
   void receive(const std::string &Datagram);
   void take(const GossipMessage &Message);
   void takeNews(const RecordNews &News, const Member &From);
+  void takeCrash(const CrashNews &News);
   void compareDigests(const GossipMessage &Message);
   void takeOrders();
   void obey(const AnnounceRecord &Order);
   void obey(const SendReport &Order);
   void obey(const SetSeeds &Order);
+  void obey(const CrashNews &Order);
   void obey(const std::vector<Member> &Table);
   void send(const std::vector<OutgoingGossip> &Out);
   void send(const Address &To, GossipMessage Message);
--- a/src/node/gossip_order.h
+++ b/src/node/gossip_order.h
@@ -25,8 +25,8 @@
 };
 
 /// What the other threads ask of the gossip thread.
-using GossipOrder =
-    std::variant<AnnounceRecord, SendReport, SetSeeds, std::vector<Member>>;
+using GossipOrder = std::variant<AnnounceRecord, SendReport, SetSeeds,
+                                 CrashNews, std::vector<Member>>;
 
 /// Reads what differs from a peer: its records, or its table of members.
 struct SyncTask {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -77,12 +77,13 @@
   NodeContext &Shared = *this->Context;
   Shared.Draining.store(true);
   logEvent(LogLevel::Info, "the node is draining");
-  // Callers that hold an old answer may still connect for a moment.
+  // The members and callers that ask now hear of it; callers that come later
+  // are refused a connection, which tells them that nothing was run.
   Shared.Stop.sleep(config::ShutdownNotice);
+  this->Callers->stopAccepting();
   const Instant Limit = bootNow() + config::ShutdownLimit;
   while (Shared.CallerConnections.load() > 0 && bootNow() < Limit)
     Shared.Stop.sleep(config::DecisionPeriod);
-  this->Callers->stopAccepting();
   while (Shared.RequestsInFlight.load() > 0 && bootNow() < Limit)
     Shared.Stop.sleep(config::DecisionPeriod);
   logEvent(LogLevel::Info, "the node has drained",
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -9,6 +9,7 @@
 #include "node/key_owner.h"
 #include "node/members_view.h"
 #include "node/metrics.h"
+#include "node/quarantine_gate.h"
 #include "node/settings.h"
 #include "node/shared_records.h"
 #include "node/snapshot_holder.h"
@@ -28,6 +29,7 @@
   SnapshotHolder Snapshots;
   KeyOwner Keys;
   AccountGate AccountLimits;
+  QuarantineGate Suspects;
   /// From handlers and the probe thread to the decision thread.
   BoundedRing<Observation> Observations;
   /// From the platform, gossip and sync threads to the decision thread.
--- /dev/null
+++ b/src/node/quarantine_gate.h
@@ -0,0 +1,33 @@
+#ifndef SISKINSTAGE_NODE_QUARANTINE_GATE_H
+#define SISKINSTAGE_NODE_QUARANTINE_GATE_H
+
+#include "core/quarantine.h"
+
+#include <mutex>
+
+namespace siskinstage {
+
+/// The node's quarantine behind a lock.
+class QuarantineGate {
+public:
+  bool crashed(RequestPrint Print, const TargetId &Target, Instant Now) {
+    const std::lock_guard<std::mutex> Guard(this->Lock);
+    return this->Table.crashed(Print, Target, Now);
+  }
+  void answered(RequestPrint Print, Instant Now) {
+    const std::lock_guard<std::mutex> Guard(this->Lock);
+    this->Table.answered(Print, Now);
+  }
+  bool refuses(RequestPrint Print, Instant Now) {
+    const std::lock_guard<std::mutex> Guard(this->Lock);
+    return this->Table.size() > 0 && this->Table.refuses(Print, Now);
+  }
+
+private:
+  std::mutex Lock;
+  Quarantine Table;
+};
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NODE_QUARANTINE_GATE_H
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -32,6 +32,9 @@
 ABSL_FLAG(std::string, ready_wait_ms, "10000",
           "Longest wait for a comparison of revisions with the platform and "
           "with nodes of two failure domains, 0 to 600000.");
+ABSL_FLAG(std::string, detector, "group",
+          "What counts against a target: group, own or probes; the last two "
+          "are for experiments.");
 ABSL_FLAG(std::string, log_level, "info", "debug, info, warn or error.");
 ABSL_FLAG(std::string, log_format, "kv", "kv or json.");
 ABSL_FLAG(bool, print_settings, false,
@@ -49,19 +52,12 @@
     "  siskinstaged --listen=10.0.0.4:8080 --platform=10.0.9.1:7000 "
     "--domain=zaandam --fleet_keys_file=/run/siskinstage/keys";
 
-const std::vector<std::string> Names = {"listen",
-                                        "advertise",
-                                        "operator_listen",
-                                        "platform",
-                                        "id",
-                                        "domain",
-                                        "region",
-                                        "fleet_keys",
-                                        "fleet_keys_file",
-                                        "max_connections",
-                                        "ready_wait_ms",
-                                        "log_level",
-                                        "log_format"};
+const std::vector<std::string> Names = {
+    "detector",        "listen",          "advertise",
+    "operator_listen", "platform",        "id",
+    "domain",          "region",          "fleet_keys",
+    "fleet_keys_file", "max_connections", "ready_wait_ms",
+    "log_level",       "log_format"};
 
 Address readAddress(const std::string &Name, const std::string &Value,
                     std::vector<Error> &Faults) {
@@ -151,6 +147,11 @@
                  20'000, Faults);
   Read.ReadyWait = Millis(readNumber(
       "ready_wait_ms", absl::GetFlag(FLAGS_ready_wait_ms), 0, 600'000, Faults));
+  Read.How = readChoice<Detector>("detector", absl::GetFlag(FLAGS_detector),
+                                  {{"group", Detector::Group},
+                                   {"own", Detector::OwnOnly},
+                                   {"probes", Detector::ProbesOnly}},
+                                  Faults);
   Read.Level = readChoice<LogLevel>("log_level", absl::GetFlag(FLAGS_log_level),
                                     {{"debug", LogLevel::Debug},
                                      {"info", LogLevel::Info},
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -2,6 +2,7 @@
 #define SISKINSTAGE_NODE_SETTINGS_H
 
 #include "core/key_ring.h"
+#include "core/service_health.h"
 #include "node/log.h"
 #include "siskinstage/strong_id.h"
 #include "siskinstage/units.h"
@@ -25,6 +26,7 @@
   int MaxConnections = 0;
   LogLevel Level = LogLevel::Info;
   LogFormat Format = LogFormat::KeyValue;
+  Detector How = Detector::Group;
   Millis ReadyWait{};     ///< Longest wait for the platform before serving.
   bool PrintOnly = false; ///< Print the settings and exit.
 };
--- a/tests/property/floor_property_test.cpp
+++ b/tests/property/health_property_test.cpp
@@ -125,6 +125,62 @@
   EXPECT_FALSE(Health.decide(Now)[0].Admitted);
 }
 
+PeerReport reportOf(int Node, const char *Domain, ReportKind What,
+                    std::uint32_t Streak) {
+  return {Address("10.1.0." + std::to_string(Node) + ":80"),
+          FailureDomain(Domain), What, Streak, Instant{}};
+}
+
+TEST(ServiceHealth, TheGroupsReportsAddUp) {
+  ServiceHealth Health(FailureDomain("a"));
+  Health.configure(service(10, DetectionPreference::Fast));
+  observe(Health, Evidence::Failure, Instant{}, 1);
+  Health.report(TargetId("t0"), reportOf(1, "b", ReportKind::Failing, 2));
+  const auto Verdicts = Health.decide(Instant{});
+  EXPECT_FALSE(Verdicts[0].Admitted);
+  EXPECT_TRUE(Verdicts[0].ByGroup);
+}
+
+TEST(ServiceHealth, ReportsTakenBackDoNotCount) {
+  ServiceHealth Health(FailureDomain("a"));
+  Health.configure(service(10, DetectionPreference::Fast));
+  Health.report(TargetId("t0"), reportOf(1, "b", ReportKind::Failing, 2));
+  Health.report(TargetId("t0"), reportOf(1, "b", ReportKind::Failing, 0));
+  Health.report(TargetId("t0"), reportOf(2, "c", ReportKind::Failing, 2));
+  EXPECT_TRUE(Health.decide(Instant{})[0].Admitted);
+}
+
+TEST(ServiceHealth, OneDomainThatReachesNothingIsAPathFault) {
+  ServiceHealth Health(FailureDomain("a"));
+  Health.configure(service(10, DetectionPreference::Fast));
+  for (int Node = 1; Node < 5; ++Node)
+    Health.report(TargetId("t0"),
+                  reportOf(Node, "b", ReportKind::Unreachable, 9));
+  EXPECT_TRUE(Health.decide(Instant{})[0].Admitted);
+  Health.report(TargetId("t0"), reportOf(9, "c", ReportKind::Unreachable, 9));
+  EXPECT_FALSE(Health.decide(Instant{})[0].Admitted);
+}
+
+TEST(ServiceHealth, OneNodesLoneReportsEjectNowhereElse) {
+  for (const auto Preference :
+       {DetectionPreference::Fast, DetectionPreference::Careful}) {
+    ServiceHealth Health(FailureDomain("a"));
+    Health.configure(service(10, Preference));
+    Health.report(TargetId("t0"), reportOf(1, "b", ReportKind::Failing, 99));
+    EXPECT_TRUE(Health.decide(Instant{})[0].Admitted);
+  }
+}
+
+// One node kept a target that all others had ejected, since a report was taken
+// back before the next one came.
+TEST(ServiceHealth, FollowsTheGroupsVerdict) {
+  ServiceHealth Health(FailureDomain("a"));
+  Health.configure(service(10, DetectionPreference::Fast));
+  Health.report(TargetId("t0"), reportOf(1, "b", ReportKind::Ejected, 0));
+  EXPECT_FALSE(Health.decide(Instant{})[0].Admitted);
+  EXPECT_TRUE(Health.takeReports(Instant{}).empty());
+}
+
 TEST(ServiceHealth, AHurriedCallerDoesNotBlameTheTarget) {
   ServiceHealth Health;
   Health.configure(service(10, DetectionPreference::Fast));
--- a/tests/standin/target_main.cpp
+++ b/tests/standin/target_main.cpp
@@ -5,6 +5,7 @@
 ///   GET  /ledger    runs of each piece of work
 ///   POST /clear     empties the ledger
 ///   GET  /stats     one object for each target
+///   GET  /work?target=N  times at which work began; forgets them
 #include "net/flag_reader.h"
 #include "standin/target_server.h"
 
@@ -60,6 +61,10 @@
     Ledger.clear();
     return {200, "{}"};
   }
+  if (Asked.Path == "/work") {
+    const auto Chosen = chosen(All, Asked);
+    return {200, Chosen.empty() ? "[]" : Chosen.front()->takeWorkTimes()};
+  }
   if (Asked.Path == "/behave") {
     for (TargetServer *Each : chosen(All, Asked))
       Each->behaviour().set(Asked);
--- a/tests/standin/target_server.cpp
+++ b/tests/standin/target_server.cpp
@@ -78,6 +78,15 @@
          Field("in_flight", this->InFlight.load()) + "}";
 }
 
+std::string TargetServer::takeWorkTimes() {
+  const std::lock_guard<std::mutex> Guard(this->TimesLock);
+  std::string Text = "[";
+  for (const std::int64_t Time : this->WorkTimes)
+    Text += (Text.size() > 1 ? "," : "") + std::to_string(Time);
+  this->WorkTimes.clear();
+  return Text + "]";
+}
+
 bool TargetServer::hits(const std::atomic<double> &Share) {
   const double Value = Share.load();
   if (Value <= 0)
@@ -242,6 +251,10 @@
     return this->refuse(Peer, Asked);
   ++this->Counts.Requests;
   this->Counts.LastWorkMs = nowMs();
+  {
+    const std::lock_guard<std::mutex> Guard(this->TimesLock);
+    this->WorkTimes.push_back(nowMs());
+  }
   this->Ledger.begin(Asked.Name, this->Where);
   if (Asked.Head.has(PoisonHeader) || this->hits(this->Behaviour.CrashDuring)) {
     this->crash();
--- a/tests/standin/target_server.h
+++ b/tests/standin/target_server.h
@@ -9,7 +9,9 @@
 #include <atomic>
 #include <cstdint>
 #include <memory>
+#include <mutex>
 #include <string>
+#include <vector>
 
 namespace siskinstage::standin {
 
@@ -35,6 +37,9 @@
   void run();
   TargetBehaviour &behaviour() { return this->Behaviour; }
   std::string statsText() const;
+  /// Times at which work began, in milliseconds on the boot clock, as a JSON
+  /// array; forgets them.
+  std::string takeWorkTimes();
   void setLeaving(bool Leaving);
 
 private:
@@ -44,6 +49,8 @@
   TargetLedger &Ledger;
   TargetBehaviour Behaviour;
   Stats Counts;
+  std::mutex TimesLock;
+  std::vector<std::int64_t> WorkTimes;
   std::atomic<std::uint32_t> InFlight{0};
   std::atomic<std::uint32_t> Connections{0};
   /// Goes up with each crash; connections of an older life end.
--- a/tests/unit/gossip_test.cpp
+++ b/tests/unit/gossip_test.cpp
@@ -24,9 +24,12 @@
 
 TEST(GossipCodec, EveryBodyTravelsThroughJsonRpc) {
   const GossipBody Bodies[] = {
-      Ping{1}, PingRequest{2, Address("10.0.0.3:80")}, Ack{3},
+      Ping{1},
+      PingRequest{2, Address("10.0.0.3:80")},
+      Ack{3},
       RecordNews{{RecordKind::Route, "r"}, {4}, "{}"},
-      TargetReport{ServiceName("s"), TargetId("t"), ReportKind::Leaving}};
+      TargetReport{ServiceName("s"), TargetId("t"), ReportKind::Leaving},
+      CrashNews{{9}, TargetId("t")}};
   for (const GossipBody &Body : Bodies) {
     const GossipMessage Sent = sample(Body);
     const std::string Text = gossipNotification(encodeGossip(Sent));
--- a/tools/siskinload/load_worker.cpp
+++ b/tools/siskinload/load_worker.cpp
@@ -124,24 +124,37 @@
   if (!Body.empty() || this->Options.Method == "POST")
     Request.setContentLength64(static_cast<Poco::Int64>(Body.size()));
 
-  for (std::uint32_t Try = 0; Using != nullptr; ++Try) {
-    Sample.Tries = Try + 1;
-    const auto Count = static_cast<std::uint32_t>(Using->Addresses.size());
-    // The first address owns the key; further tries go through the others.
-    const std::uint32_t First =
-        this->Options.Direct.empty() ? 0 : static_cast<std::uint32_t>(Index);
-    const Address Where = Using->Addresses[(First + Try) % Count];
+  if (Using != nullptr)
+    this->tryAll(*Using, Index, Request, Body, Sample);
+  if (Sample.How == Ending::Broken || this->NoConnection)
+    this->Known[Due.Account].Until = Instant{};
+  Sample.Latency = bootNow() - (this->Start + Due.At);
+  this->Samples.push_back(std::move(Sample));
+}
+
+void LoadWorker::tryAll(const Entries &Using, std::size_t Index,
+                        const Poco::Net::HTTPRequest &Request,
+                        const std::string &Body, LoadSample &Sample) {
+  const auto Count = static_cast<std::uint32_t>(Using.Addresses.size());
+  // The first address owns the key; further tries go through the others.
+  std::uint32_t At =
+      this->Options.Direct.empty() ? 0 : static_cast<std::uint32_t>(Index);
+  std::uint32_t Unreached = 0;
+  std::uint32_t Resent = 0;
+  while (true) {
+    const Address Where = Using.Addresses[At++ % Count];
     Sample.How = this->tryOnce(Where, Request, Body, Sample);
+    // Without a connection nothing was run: on to the next address.
+    if (this->NoConnection && ++Unreached < Count)
+      continue;
+    Sample.Tries = Resent + 1;
     const bool Open =
         Sample.How == Ending::Broken || Sample.How == Ending::Unknown;
-    if (!Open || Try >= this->Options.Resends)
-      break;
+    if (!Open || Resent >= this->Options.Resends)
+      return;
+    ++Resent;
     std::this_thread::sleep_for(this->Options.ResendAfter);
   }
-  if (Sample.How == Ending::Broken)
-    this->Known[Due.Account].Until = Instant{};
-  Sample.Latency = bootNow() - (this->Start + Due.At);
-  this->Samples.push_back(std::move(Sample));
 }
 
 ReadResult<HttpAnswer> LoadWorker::send(const Address &Where,
@@ -153,6 +166,7 @@
     Connection.reset();
   if (!Connection) {
     auto New = Wire::connect(Where, Limit);
+    this->NoConnection = !New;
     if (!New)
       return tl::unexpected<ReadFault>(New.error());
     Connection = std::make_unique<Wire>(std::move(*New));
@@ -164,8 +178,9 @@
 }
 
 Ending LoadWorker::tryOnce(const Address &Where,
-                           Poco::Net::HTTPRequest &Request,
+                           const Poco::Net::HTTPRequest &Request,
                            const std::string &Body, LoadSample &Sample) {
+  this->NoConnection = false;
   const auto Answer = this->send(Where, Request, Body);
   if (!Answer)
     return Ending::Broken;
--- a/tools/siskinload/load_worker.h
+++ b/tools/siskinload/load_worker.h
@@ -49,12 +49,17 @@
   std::vector<LoadSample> Samples;
   std::map<std::uint32_t, Entries> Known; ///< By account.
   std::map<Address, std::unique_ptr<Wire>> Connections;
+  bool NoConnection = false; ///< The last try got no connection.
 
   void serve(std::size_t Index);
   /// Entries for the account, asked anew when their time is over.
   const Entries *entries(std::uint32_t Account);
   std::optional<Entries> askEntries(std::uint32_t Account);
-  Ending tryOnce(const Address &Where, Poco::Net::HTTPRequest &Request,
+  /// Tries the entries in turn until one gives an end.
+  void tryAll(const Entries &Using, std::size_t Index,
+              const Poco::Net::HTTPRequest &Request, const std::string &Body,
+              LoadSample &Sample);
+  Ending tryOnce(const Address &Where, const Poco::Net::HTTPRequest &Request,
                  const std::string &Body, LoadSample &Sample);
   ReadResult<HttpAnswer> send(const Address &Where,
                               const Poco::Net::HTTPRequest &Request,
