--- a/bench/config_spread.py
+++ b/bench/config_spread.py
@@ -15,6 +15,7 @@
 CHANGES = 12
 BURST = 100
 POLL = 0.02
+FLEETS = (10, 20, 40, 80)
 
 
 def account(name, revision, rate=5):
@@ -48,6 +49,14 @@
                for i in nodes)
 
 
+def served_from_nothing(index):
+    """Whether a node that has just started denies a route that exists."""
+    try:
+        return call(NODE_PORT + index, "GET", "/boards/1")[0] == 404
+    except OSError:
+        return False  # It does not listen yet.
+
+
 def main():
     report = Report("config-spread", SEED)
     dice = random.Random(SEED)
@@ -79,11 +88,7 @@
             fleet.signal(f"node-{index}", signal.SIGKILL)
             fleet.processes[f"node-{index}"].wait()
             fleet.start_node(index)
-        served_early = 0
-        for index in gone:
-            status, body = call(NODE_PORT + index, "GET", "/boards/1")
-            not_ready = status == 503 and "not ready" in body
-            served_early += status == 404 and not not_ready
+        served_early = sum(served_from_nothing(i) for i in gone)
         fleet.await_ready(nodes)
         time.sleep(3)
         report.add("reverted_under_a_stale_platform",
@@ -93,9 +98,7 @@
             fleet.signal(f"node-{index}", signal.SIGKILL)
             fleet.processes[f"node-{index}"].wait()
             fleet.start_node(index)
-        for index in gone:
-            status, body = call(NODE_PORT + index, "GET", "/boards/1")
-            served_early += status == 404
+        served_early += sum(served_from_nothing(i) for i in gone)
         start = time.monotonic()
         fleet.await_ready(nodes)
         report.add("boot_from_peers_platform_away", time.monotonic() - start,
@@ -108,7 +111,7 @@
         report.add("change_after_the_outage",
                    spread(fleet, [account("late", revision)], nodes, revision),
                    "s")
-    for count in (10, 20, 40, 80):
+    for count in FLEETS:
         with Fleet(nodes=count) as fleet:
             time.sleep(3)
             before = fleet.platform_calls()["calls"]
--- a/bench/membership.py
+++ b/bench/membership.py
@@ -5,7 +5,7 @@
 import statistics
 import time
 
-from fleet import Fleet, process_usage
+from fleet import Fleet, process_usage, wait_for
 from report_lines import Report
 
 SEED = 81
@@ -17,6 +17,12 @@
 MEMORY_MB = 256
 
 
+def await_rest(fleet, count):
+    """Waits until the news of the start has died down."""
+    wait_for(lambda: not any(fleet.state(i)["gossip"]["news"]
+                             for i in range(count)), 240, "rest")
+
+
 def rest(fleet, count):
     """Mean bytes/s both ways, processor share and resident MB of a node."""
     nodes = range(count)
@@ -66,7 +72,7 @@
     traffic, cpu, memory = [], [], []
     for count in SIZES:
         with Fleet(nodes=count, log_level="warn") as fleet:
-            time.sleep(12)  # news of the start has died down
+            await_rest(fleet, count)
             figures = rest(fleet, count)
             traffic.append((count, figures[0]))
             cpu.append((count, figures[1]))
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -48,6 +48,7 @@
   Counts.Suspicions = this->Suspicions;
   Counts.Refutations = this->Refutations;
   Counts.Slowness = this->Slowness;
+  Counts.News = this->Queue.size();
   return Counts;
 }
 
--- a/src/core/route_table.cpp
+++ b/src/core/route_table.cpp
@@ -27,40 +27,62 @@
   return AnyMethod;
 }
 
+std::string keyOf(const std::string &Host, const std::string &Prefix) {
+  return Host + "\n" + Prefix;
+}
+
 } // namespace
 
 void RouteTable::add(const RouteRecord &Route) {
-  this->ByHost[Route.Host][normalized(Route.PathPrefix)].push_back(Route);
+  this->remove(Route);
+  const std::string Key = keyOf(Route.Host, normalized(Route.PathPrefix));
+  const auto *Held = this->ByPrefix.find(Key);
+  std::vector<RouteRecord> Routes =
+      Held == nullptr ? std::vector<RouteRecord>() : *Held;
+  Routes.push_back(Route);
+  this->ByPrefix.set(Key, std::move(Routes));
   ++this->Count;
 }
 
-const RouteRecord *RouteTable::findIn(const ByPrefix &Prefixes,
-                                      std::string_view Path,
-                                      std::string_view Method) {
-  std::string Prefix = normalized(std::string(Path));
+void RouteTable::remove(const RouteRecord &Route) {
+  const std::string Key = keyOf(Route.Host, normalized(Route.PathPrefix));
+  const auto *Held = this->ByPrefix.find(Key);
+  if (Held == nullptr)
+    return;
+  std::vector<RouteRecord> Routes = *Held;
+  const std::size_t Removed = std::erase_if(
+      Routes, [&](const RouteRecord &Each) { return Each.Name == Route.Name; });
+  if (Removed == 0)
+    return;
+  this->Count -= Removed;
+  if (Routes.empty())
+    this->ByPrefix.erase(Key);
+  else
+    this->ByPrefix.set(Key, std::move(Routes));
+}
+
+const RouteRecord *RouteTable::findAt(const std::string &Host,
+                                      std::string Prefix,
+                                      std::string_view Method) const {
   while (true) {
-    const auto Found = Prefixes.find(Prefix);
-    if (Found != Prefixes.end())
-      if (const RouteRecord *Route = forMethod(Found->second, Method))
+    const auto *Routes = this->ByPrefix.find(keyOf(Host, Prefix));
+    if (Routes != nullptr)
+      if (const RouteRecord *Route = forMethod(*Routes, Method))
         return Route;
     if (Prefix.empty())
       return nullptr;
-    Prefix.resize(Prefix.rfind('/') == std::string::npos ? 0
-                                                         : Prefix.rfind('/'));
+    const std::size_t Slash = Prefix.rfind('/');
+    Prefix.resize(Slash == std::string::npos ? 0 : Slash);
   }
 }
 
 const RouteRecord *RouteTable::find(const std::string &Host,
                                     std::string_view Path,
                                     std::string_view Method) const {
-  for (const std::string &Key : {Host, std::string()}) {
-    const auto Prefixes = this->ByHost.find(Key);
-    if (Prefixes == this->ByHost.end())
-      continue;
-    if (const RouteRecord *Route = findIn(Prefixes->second, Path, Method))
-      return Route;
-  }
-  return nullptr;
+  const std::string Prefix = normalized(std::string(Path));
+  if (const RouteRecord *Route = this->findAt(Host, Prefix, Method))
+    return Route;
+  return Host.empty() ? nullptr : this->findAt("", Prefix, Method);
 }
 
 } // namespace siskinstage
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -1,20 +1,22 @@
 #ifndef SISKINSTAGE_CORE_ROUTE_TABLE_H
 #define SISKINSTAGE_CORE_ROUTE_TABLE_H
 
+#include "core/cow_map.h"
 #include "siskinstage/route_record.h"
 
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace siskinstage {
 
 /// Finds the route of a request: the request's host before any host, the
 /// longest path prefix first, and a route with methods before one without.
+/// Copies share what they have in common.
 class RouteTable {
 public:
   void add(const RouteRecord &Route);
+  void remove(const RouteRecord &Route);
 
   /// \param Host lower case, without port.
   /// \param Path the path without query.
@@ -25,14 +27,13 @@
   [[nodiscard]] std::size_t size() const { return this->Count; }
 
 private:
-  using Routes = std::vector<RouteRecord>;
-  using ByPrefix = std::unordered_map<std::string, Routes>;
-  std::unordered_map<std::string, ByPrefix> ByHost;
+  /// Routes by host and prefix.
+  CowMap<std::string, std::vector<RouteRecord>> ByPrefix;
   std::size_t Count = 0;
 
-  static const RouteRecord *findIn(const ByPrefix &Prefixes,
-                                   std::string_view Path,
-                                   std::string_view Method);
+  [[nodiscard]] const RouteRecord *findAt(const std::string &Host,
+                                          std::string Prefix,
+                                          std::string_view Method) const;
 };
 
 } // namespace siskinstage
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -61,23 +61,20 @@
 }
 
 void DecisionLoop::apply(RecordBatch &Batch) {
-  bool Routes = false;
-  bool AccountsChanged = false;
   for (const Record &New : Batch.Records) {
+    const Record *Held = this->records().find(New.Key);
+    const auto Old =
+        Held == nullptr ? std::nullopt : std::optional<Record>(*Held);
     if (this->Context.Records.adopt(New) != RecordStore::Adoption::Adopted)
       continue;
     this->Changed = true;
-    Routes = Routes || New.Key.Kind == RecordKind::Route;
-    AccountsChanged = AccountsChanged || New.Key.Kind == RecordKind::Account;
+    if (Old)
+      this->withdraw(*Old);
     this->adopt(New);
     logEvent(LogLevel::Info, "record " + New.Key.text() + " is in force",
              {{"revision", std::to_string(New.Rev.Value)}});
     this->announce(New);
   }
-  if (Routes)
-    this->rebuildRoutes();
-  if (AccountsChanged)
-    this->rebuildAccounts();
   this->PlatformRead = this->PlatformRead || Batch.PlatformComplete;
   if (!Batch.ComparedWith.empty())
     this->ComparedDomains.insert(Batch.ComparedWith);
@@ -95,9 +92,10 @@
   if (this->Next.Configured || this->records().all().empty())
     return;
   const bool Waited = Now - this->Started >= this->Context.Set.ReadyWait;
-  const bool Peers = this->ListRead && this->ComparedDomains.size() >=
-                                           std::min(config::ReadyDomains,
-                                                    this->ListedDomains.size());
+  const std::size_t Compared = this->ComparedDomains.size();
+  const std::size_t Listed = this->ListedDomains.size();
+  const bool Peers = Compared >= config::ReadyDomains ||
+                     (this->ListRead && Compared >= Listed);
   // Peers that know the platform's revisions stand for it.
   const bool Platform = this->PlatformRead || !this->ComparedDomains.empty();
   if (!Waited && (!Peers || !Platform))
@@ -110,25 +108,33 @@
             {"waited_out", Waited ? "yes" : "no"}});
 }
 
+void DecisionLoop::withdraw(const Record &Old) {
+  if (const auto *Route = std::get_if<RouteRecord>(&Old.Body))
+    this->Next.Routes.remove(*Route);
+}
+
 void DecisionLoop::adopt(const Record &New) {
+  const auto Deleted = std::holds_alternative<Tombstone>(New.Body);
   if (const auto *Fleet = std::get_if<FleetRecord>(&New.Body)) {
     this->Next.Fleet = *Fleet;
     for (auto &[Name, Service] : this->Services)
       Service.Gate->configure(this->record(Name)->Policy, Fleet->RetryBudget);
-    return;
-  }
-  if (New.Key.Kind != RecordKind::Service)
-    return;
-  const ServiceName Name(New.Key.Name);
-  const auto *Service = std::get_if<ServiceRecord>(&New.Body);
-  if (Service == nullptr) {
-    this->Services.erase(Name);
-    auto Views =
-        std::make_shared<siskinstage::Services>(*this->Next.ServiceViews);
-    Views->erase(Name);
-    this->Next.ServiceViews = Views;
-    return;
+  } else if (const auto *Route = std::get_if<RouteRecord>(&New.Body)) {
+    this->Next.Routes.add(*Route);
+  } else if (const auto *Account = std::get_if<AccountRecord>(&New.Body)) {
+    this->Next.AccountRecords.set(Account->Name, *Account);
+  } else if (const auto *Service = std::get_if<ServiceRecord>(&New.Body)) {
+    this->adoptService(*Service);
+  } else if (Deleted && New.Key.Kind == RecordKind::Account) {
+    this->Next.AccountRecords.erase(AccountName(New.Key.Name));
+  } else if (Deleted && New.Key.Kind == RecordKind::Service) {
+    this->Services.erase(ServiceName(New.Key.Name));
+    this->Next.ServiceViews.erase(ServiceName(New.Key.Name));
   }
+}
+
+void DecisionLoop::adoptService(const ServiceRecord &New) {
+  const ServiceName &Name = New.Name;
   Held &Is = this->Services
                  .try_emplace(Name, Held{this->Context.Set.Domain,
                                          this->Context.Set.How})
@@ -136,8 +142,8 @@
   if (!Is.Gate)
     Is.Gate =
         std::make_shared<ServiceGate>(Name, this->Context.Keys.process().Value);
-  Is.Gate->configure(Service->Policy, this->Next.Fleet.RetryBudget);
-  Is.Health.configure(*Service);
+  Is.Gate->configure(New.Policy, this->Next.Fleet.RetryBudget);
+  Is.Health.configure(New);
   Is.Health.setListedLeaving(this->ListedLeaving);
   Is.Group = this->groupOf(Name);
   Is.Verdicts.clear();
@@ -159,6 +165,8 @@
     Seeds.Seeds.push_back(Each.Where);
     this->ListedDomains.insert(Each.Domain);
   }
+  const std::vector<Address> &Set = this->Context.Set.Seeds;
+  Seeds.Seeds.insert(Seeds.Seeds.end(), Set.begin(), Set.end());
   this->Context.GossipOrders.push(std::move(Seeds));
   if (Leaving != this->ListedLeaving) {
     this->ListedLeaving = std::move(Leaving);
@@ -207,22 +215,6 @@
   return Group;
 }
 
-void DecisionLoop::rebuildRoutes() {
-  auto Table = std::make_shared<RouteTable>();
-  for (const auto &[Key, Each] : this->records().all())
-    if (const auto *Route = std::get_if<RouteRecord>(&Each.Body))
-      Table->add(*Route);
-  this->Next.Routes = Table;
-}
-
-void DecisionLoop::rebuildAccounts() {
-  auto Known = std::make_shared<Accounts>();
-  for (const auto &[Key, Each] : this->records().all())
-    if (const auto *Account = std::get_if<AccountRecord>(&Each.Body))
-      Known->emplace(Account->Name, *Account);
-  this->Next.AccountRecords = Known;
-}
-
 const ServiceRecord *DecisionLoop::record(const ServiceName &Name) const {
   const Record *Found = this->records().find({RecordKind::Service, Name.str()});
   return Found == nullptr ? nullptr : std::get_if<ServiceRecord>(&Found->Body);
@@ -315,10 +307,7 @@
     View->Targets.push_back(
         {Spec, Service.Verdicts[I], this->gaugeOf(Spec.Where)});
   }
-  auto Views =
-      std::make_shared<siskinstage::Services>(*this->Next.ServiceViews);
-  (*Views)[Name] = std::move(View);
-  this->Next.ServiceViews = Views;
+  this->Next.ServiceViews.set(Name, std::move(View));
 }
 
 void DecisionLoop::publish() {
--- a/src/node/decision_loop.h
+++ b/src/node/decision_loop.h
@@ -55,14 +55,15 @@
   void apply(MemberBatch &Batch);
   void apply(ReportArrival &Arrival);
   void adopt(const Record &New);
+  void adoptService(const ServiceRecord &New);
+  /// Takes out what the old version of a record put in.
+  void withdraw(const Record &Old);
   void announce(const Record &New);
   /// Whether enough has been compared to answer callers.
   void checkReady(Instant Now);
   void noteEjection(const ServiceName &Name, const TargetVerdict &Verdict);
   [[nodiscard]] const RecordStore &records() const;
   [[nodiscard]] std::vector<Address> groupOf(const ServiceName &Name) const;
-  void rebuildRoutes();
-  void rebuildAccounts();
   void decideAll(Instant Now);
   void decide(const ServiceName &Name, Held &Service, Instant Now);
   void noteSaidLeaving(const ServiceRecord &Record, Held &Service, Instant Now);
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -255,62 +255,81 @@
                       Failed.Attempt.Reason);
 }
 
+std::optional<DispatchEnd> Dispatcher::checkBeforeDispatch() {
+  if (this->Order.Caller != nullptr && this->Order.Caller->peerGone())
+    return CallerGone{};
+  if (this->Context.Suspects.refuses(this->Print, bootNow()))
+    return this->refuse(503, Step::Limit, "quarantine",
+                        "targets crashed at this request");
+  const std::string &Key = this->Order.OwnedKey;
+  if (!Key.empty() && !this->Context.Keys.beginDispatch(Key))
+    return this->refuse(503, Step::Key, Key, "the key is not free");
+  return std::nullopt;
+}
+
+std::optional<DispatchEnd>
+Dispatcher::takeAnswer(std::unique_ptr<TargetExchange> Exchange,
+                       TargetLease &Lease, Duration Took,
+                       ExchangeFailure &Failed) {
+  const TargetView &Target = Lease.target();
+  this->noteAnswer(Target, *Exchange, Took);
+  const bool NotRun = Exchange->saidNotRun();
+  if (!NotRun && !this->worthRetrying(*Exchange))
+    return DispatchedAnswer{std::move(Exchange), std::move(Lease)};
+  Failed.Attempt = {
+      NotRun ? AttemptFailure::Kind::Refused : AttemptFailure::Kind::BadAnswer,
+      true, "status " + std::to_string(Exchange->answer().Status)};
+  Exchange->finish(Target.Gauge->Pool);
+  if (!NotRun)
+    this->Spare = DispatchedAnswer{std::move(Exchange), TargetLease()};
+  return std::nullopt;
+}
+
+void Dispatcher::noteProof(const AttemptFailure &Failed) {
+  if (provedBy(Failed) == Outcome::Unknown)
+    this->MayHaveRun = true;
+  else if (!this->Order.OwnedKey.empty())
+    this->Context.Keys.retractDispatch(this->Order.OwnedKey);
+}
+
+void Dispatcher::waitBeforeRetry(const AttemptFailure &Failed) const {
+  // A first refusal says nothing of the other targets: no wait for them.
+  if (this->Attempts > 1 || provedBy(Failed) == Outcome::Unknown)
+    backOff(this->Attempts, this->Order.Deadline);
+}
+
 DispatchEnd Dispatcher::run() {
   this->prepareHead();
   this->Print = this->printOf();
   this->Order.Service->Gate->firstTry();
-  KeyOwner &Keys = this->Context.Keys;
-  const std::string &Key = this->Order.OwnedKey;
   while (true) {
-    auto Entered = this->enter();
-    if (!Entered)
-      return std::move(Entered.error());
-    TargetLease Lease = std::move(*Entered);
-    if (this->Order.Caller != nullptr && this->Order.Caller->peerGone())
-      return CallerGone{};
-    if (this->Context.Suspects.refuses(this->Print, bootNow()))
-      return this->refuse(503, Step::Limit, "quarantine",
-                          "targets crashed at this request");
-    if (!Key.empty() && !Keys.beginDispatch(Key))
-      return this->refuse(503, Step::Key, Key, "the key is not free");
+    auto Lease = this->enter();
+    if (!Lease)
+      return std::move(Lease.error());
+    if (auto End = this->checkBeforeDispatch())
+      return std::move(*End);
 
     ++this->Attempts;
-    const TargetView Target = Lease.target();
+    const TargetView Target = Lease->target();
     this->Tried.insert(Target.Spec.Id);
     const Instant Started = bootNow();
-    auto Ran = this->attempt(Lease);
+    auto Ran = this->attempt(*Lease);
     const Duration Took = bootNow() - Started;
     ExchangeFailure Failed;
     if (Ran) {
-      this->noteAnswer(Target, **Ran, Took);
-      const bool NotRun = (*Ran)->saidNotRun();
-      if (!NotRun && !this->worthRetrying(**Ran))
-        return DispatchedAnswer{std::move(*Ran), std::move(Lease)};
-      Failed.Attempt = {NotRun ? AttemptFailure::Kind::Refused
-                               : AttemptFailure::Kind::BadAnswer,
-                        true,
-                        "status " + std::to_string((*Ran)->answer().Status)};
-      (*Ran)->finish(Target.Gauge->Pool);
-      if (!NotRun)
-        this->Spare = DispatchedAnswer{std::move(*Ran), TargetLease()};
+      if (auto End = this->takeAnswer(std::move(*Ran), *Lease, Took, Failed))
+        return std::move(*End);
     } else {
       Failed = std::move(Ran.error());
       this->noteFailure(Target, Failed, Took);
     }
-    Lease.release();
-
-    if (provedBy(Failed.Attempt) == Outcome::Unknown)
-      this->MayHaveRun = true;
-    else if (!Key.empty())
-      Keys.retractDispatch(Key);
+    Lease->release();
+    this->noteProof(Failed.Attempt);
     if (Failed.CallerGone && !Failed.BodyFault)
       return CallerGone{};
     if (!this->retry(Failed.Attempt))
       return this->giveUp(Target, Failed);
-    // A first refusal says nothing of the other targets: no wait for them.
-    const bool Proved = provedBy(Failed.Attempt) == Outcome::NotRun;
-    if (this->Attempts > 1 || !Proved)
-      backOff(this->Attempts, this->Order.Deadline);
+    this->waitBeforeRetry(Failed.Attempt);
   }
 }
 
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -11,6 +11,7 @@
 #include "node/target_lease.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <variant>
 
@@ -78,6 +79,15 @@
   void noteFailure(const TargetView &Target, const ExchangeFailure &Failed,
                    Duration Took);
   void observe(const TargetView &Target, Evidence What, Duration Took);
+  /// What ends the request before its next dispatch, if anything.
+  std::optional<DispatchEnd> checkBeforeDispatch();
+  /// The end, if the answer is the caller's; else fills \p Failed.
+  std::optional<DispatchEnd>
+  takeAnswer(std::unique_ptr<TargetExchange> Exchange, TargetLease &Lease,
+             Duration Took, ExchangeFailure &Failed);
+  /// Notes what the failure proves of the request.
+  void noteProof(const AttemptFailure &Failed);
+  void waitBeforeRetry(const AttemptFailure &Failed) const;
   bool retry(const AttemptFailure &Failed);
   [[nodiscard]] bool worthRetrying(TargetExchange &Exchange) const;
   DispatchEnd giveUp(const TargetView &Target, const ExchangeFailure &Failed);
--- a/src/node/explain_page.cpp
+++ b/src/node/explain_page.cpp
@@ -20,7 +20,7 @@
                            const std::map<std::string, std::string> &Query) {
   const auto Now = Context.Snapshots.get();
   const std::string Method = valueOf(Query, "method", "GET");
-  const RouteRecord *Route = Now->Routes->find(
+  const RouteRecord *Route = Now->Routes.find(
       valueOf(Query, "host", ""), valueOf(Query, "path", "/"), Method);
   Json::Value Page(Json::objectValue);
   Page["route"] = Json::Value();
--- a/src/node/gossip_loop.cpp
+++ b/src/node/gossip_loop.cpp
@@ -52,6 +52,7 @@
   } catch (const Poco::Exception &Fault) {
     return fail(Step::Listen, Where + "/udp", Fault.displayText());
   }
+  New->Members.setSeeds(Context.Set.Seeds);
   New->show(bootNow());
   return New;
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -18,14 +18,6 @@
 
 namespace {
 
-std::shared_ptr<const Snapshot> emptySnapshot() {
-  auto Empty = std::make_shared<Snapshot>();
-  Empty->Routes = std::make_shared<RouteTable>();
-  Empty->AccountRecords = std::make_shared<Accounts>();
-  Empty->ServiceViews = std::make_shared<Services>();
-  return Empty;
-}
-
 std::uint64_t drawNumber() {
   std::random_device Device;
   return (static_cast<std::uint64_t>(Device()) << 32U) | Device();
@@ -39,8 +31,8 @@
   if (!Own)
     return fail(Step::Settings, "advertise", "no IPv4 address and port");
   const Incarnation Process{drawNumber()};
-  New->Context =
-      std::make_unique<NodeContext>(Set, *Own, Process, emptySnapshot());
+  New->Context = std::make_unique<NodeContext>(
+      Set, *Own, Process, std::make_shared<const Snapshot>());
   auto Operators = OperatorServer::start(*New->Context);
   if (!Operators)
     return tl::unexpected<Error>(Operators.error());
--- a/src/node/peer_sync.cpp
+++ b/src/node/peer_sync.cpp
@@ -45,15 +45,10 @@
   for (Json::ArrayIndex I = 0; I < Theirs->size(); ++I) {
     if (!(*Theirs)[I].isUInt64() || (*Theirs)[I].asUInt64() == Own[I])
       continue;
-    const auto Texts = askPeer(this->Context, Task.Peer,
-                               Start + "bucket?n=" + std::to_string(I));
-    if (!Texts)
-      return tl::unexpected<Error>(Texts.error());
-    RecordBatch Batch;
-    for (const Json::Value &Text : *Texts)
-      if (Text.isString())
-        takeRecordText(this->Context, Text.asString(), Task.Peer, Batch);
-    passOn(this->Context, Batch);
+    const auto Read =
+        this->readTexts(Task.Peer, Start + "bucket?n=" + std::to_string(I));
+    if (!Read)
+      return Read;
   }
   RecordBatch Compared;
   Compared.ComparedWith = Task.Domain;
@@ -65,13 +60,18 @@
   Poco::URI Uri(std::string(PeerPathStart) + "record");
   Uri.addQueryParameter("kind", recordKindName(Task.Key.Kind));
   Uri.addQueryParameter("name", Task.Key.Name);
-  const auto Texts = askPeer(this->Context, Task.Peer, Uri.getPathAndQuery());
+  return this->readTexts(Task.Peer, Uri.getPathAndQuery());
+}
+
+Result<void> PeerSync::readTexts(const Address &Peer,
+                                 const std::string &Target) {
+  const auto Texts = askPeer(this->Context, Peer, Target);
   if (!Texts)
     return tl::unexpected<Error>(Texts.error());
   RecordBatch Batch;
   for (const Json::Value &Text : *Texts)
     if (Text.isString())
-      takeRecordText(this->Context, Text.asString(), Task.Peer, Batch);
+      takeRecordText(this->Context, Text.asString(), Peer, Batch);
   passOn(this->Context, Batch);
   return {};
 }
--- a/src/node/prober.cpp
+++ b/src/node/prober.cpp
@@ -22,9 +22,10 @@
 
 std::vector<Probed> allTargets(const Snapshot &Now) {
   std::vector<Probed> Targets;
-  for (const auto &[Name, Service] : *Now.ServiceViews)
+  Now.ServiceViews.forEach([&](const ServiceName &, const auto &Service) {
     for (const TargetView &Target : Service->Targets)
       Targets.emplace_back(Service, &Target);
+  });
   return Targets;
 }
 
--- a/src/node/request_flow.cpp
+++ b/src/node/request_flow.cpp
@@ -70,7 +70,7 @@
 }
 
 bool RequestFlow::route() {
-  const RouteRecord *Route = this->Now->Routes->find(
+  const RouteRecord *Route = this->Now->Routes.find(
       this->Request.Host, this->Request.Path, this->Request.Head.getMethod());
   if (Route == nullptr) {
     this->refuse(404, Outcome::NotRun, Step::Route, this->Request.Path,
@@ -295,10 +295,11 @@
 }
 
 DispatchEnd RequestFlow::dispatchLimited(const std::string &OwnedKey) {
-  const auto Known = this->Now->AccountRecords->find(this->Request.Account);
-  if (Known == this->Now->AccountRecords->end())
+  const AccountRecord *Known =
+      this->Now->AccountRecords.find(this->Request.Account);
+  if (Known == nullptr)
     return this->dispatch(OwnedKey);
-  const AccountRecord &Account = Known->second;
+  const AccountRecord &Account = *Known;
   const std::size_t Nodes =
       std::min(this->Now->Fleet.EntriesPerAccount,
                std::max<std::size_t>(this->Now->Nodes.size(), 1));
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -19,6 +19,9 @@
           "Operators' port, as address:port.");
 ABSL_FLAG(std::string, platform, "",
           "Address of the platform's configuration service and instance list.");
+ABSL_FLAG(std::string, seeds, "",
+          "Addresses of other nodes, separated by commas; looked for beside "
+          "those of the instance list.");
 ABSL_FLAG(std::string, id, "",
           "Name of this node; its advertised address if empty.");
 ABSL_FLAG(std::string, domain, "", "Failure domain of this node.");
@@ -52,12 +55,21 @@
     "  siskinstaged --listen=10.0.0.4:8080 --platform=10.0.9.1:7000 "
     "--domain=zaandam --fleet_keys_file=/run/siskinstage/keys";
 
-const std::vector<std::string> Names = {
-    "detector",        "listen",          "advertise",
-    "operator_listen", "platform",        "id",
-    "domain",          "region",          "fleet_keys",
-    "fleet_keys_file", "max_connections", "ready_wait_ms",
-    "log_level",       "log_format"};
+const std::vector<std::string> Names = {"seeds",
+                                        "detector",
+                                        "listen",
+                                        "advertise",
+                                        "operator_listen",
+                                        "platform",
+                                        "id",
+                                        "domain",
+                                        "region",
+                                        "fleet_keys",
+                                        "fleet_keys_file",
+                                        "max_connections",
+                                        "ready_wait_ms",
+                                        "log_level",
+                                        "log_format"};
 
 Address readAddress(const std::string &Name, const std::string &Value,
                     std::vector<Error> &Faults) {
@@ -68,6 +80,16 @@
   return Address(Value);
 }
 
+std::vector<Address> readSeeds(const std::string &Text,
+                               std::vector<Error> &Faults) {
+  std::vector<Address> Seeds;
+  std::istringstream Items(Text);
+  std::string Item;
+  while (std::getline(Items, Item, ','))
+    Seeds.push_back(readAddress("seeds", Item, Faults));
+  return Seeds;
+}
+
 int readNumber(const std::string &Name, const std::string &Value, int Least,
                int Most, std::vector<Error> &Faults) {
   int Number = 0;
@@ -133,6 +155,7 @@
       "operator_listen", absl::GetFlag(FLAGS_operator_listen), Faults);
   Read.Platform =
       readAddress("platform", absl::GetFlag(FLAGS_platform), Faults);
+  Read.Seeds = readSeeds(absl::GetFlag(FLAGS_seeds), Faults);
   const std::string Id = absl::GetFlag(FLAGS_id);
   Read.Id = NodeId(Id.empty() ? Read.Advertise.str() : Id);
   Read.Domain = FailureDomain(absl::GetFlag(FLAGS_domain));
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -19,6 +19,7 @@
   Address Advertise;      ///< Where callers and other nodes reach it.
   Address OperatorListen; ///< Operators' port.
   Address Platform;
+  std::vector<Address> Seeds; ///< Nodes to look for, beside the listed ones.
   NodeId Id;
   FailureDomain Domain;
   std::string Region;
--- a/src/node/snapshot.cpp
+++ b/src/node/snapshot.cpp
@@ -4,8 +4,8 @@
 
 std::shared_ptr<const ServiceView>
 Snapshot::service(const ServiceName &Name) const {
-  const auto Found = this->ServiceViews->find(Name);
-  return Found == this->ServiceViews->end() ? nullptr : Found->second;
+  const auto *Found = this->ServiceViews.find(Name);
+  return Found == nullptr ? nullptr : *Found;
 }
 
 } // namespace siskinstage
--- a/src/node/snapshot.h
+++ b/src/node/snapshot.h
@@ -1,6 +1,7 @@
 #ifndef SISKINSTAGE_NODE_SNAPSHOT_H
 #define SISKINSTAGE_NODE_SNAPSHOT_H
 
+#include "core/cow_map.h"
 #include "core/route_table.h"
 #include "core/service_health.h"
 #include "core/steering.h"
@@ -9,7 +10,6 @@
 #include "siskinstage/units.h"
 
 #include <memory>
-#include <unordered_map>
 #include <vector>
 
 namespace siskinstage {
@@ -33,9 +33,8 @@
   Duration High{};    ///< Usual high latency, zero if not known.
 };
 
-using Services =
-    std::unordered_map<ServiceName, std::shared_ptr<const ServiceView>>;
-using Accounts = std::unordered_map<AccountName, AccountRecord>;
+using Services = CowMap<ServiceName, std::shared_ptr<const ServiceView>>;
+using Accounts = CowMap<AccountName, AccountRecord>;
 
 /// Everything that handlers read. It never changes; the decision thread swaps
 /// in a new one.
@@ -44,9 +43,9 @@
   Revision Highest;
   std::size_t Records = 0;
   bool Configured = false; ///< A whole configuration has been read.
-  std::shared_ptr<const RouteTable> Routes;
-  std::shared_ptr<const Accounts> AccountRecords;
-  std::shared_ptr<const Services> ServiceViews;
+  RouteTable Routes;
+  Accounts AccountRecords;
+  Services ServiceViews;
   FleetRecord Fleet;
   std::vector<SteeringNode> Nodes; ///< Live entry instances.
 
--- a/src/node/state_dump.cpp
+++ b/src/node/state_dump.cpp
@@ -107,6 +107,7 @@
   Dump["suspicions"] = Number(View->Counts.Suspicions);
   Dump["refutations"] = Number(View->Counts.Refutations);
   Dump["slowness"] = View->Counts.Slowness;
+  Dump["news"] = Number(View->Counts.News);
   Dump["bytes_sent"] = Number(Context.Traffic.BytesSent);
   Dump["bytes_received"] = Number(Context.Traffic.BytesReceived);
   Dump["sync_bytes"] = Number(Context.Traffic.SyncBytes);
@@ -136,14 +137,15 @@
   Config["configured"] = Now->Configured;
   Config["highest_revision"] = static_cast<Json::UInt64>(Now->Highest.Value);
   Config["records"] = static_cast<Json::UInt64>(Now->Records);
-  Config["routes"] = static_cast<Json::UInt64>(Now->Routes->size());
-  Config["accounts"] = static_cast<Json::UInt64>(Now->AccountRecords->size());
+  Config["routes"] = static_cast<Json::UInt64>(Now->Routes.size());
+  Config["accounts"] = static_cast<Json::UInt64>(Now->AccountRecords.size());
   Config["snapshot"] = static_cast<Json::UInt64>(Now->Version);
   Dump["members"] = membersDump(Context);
   Dump["gossip"] = gossipDump(Context);
   Json::Value &Services = Dump["services"] = Json::Value(Json::arrayValue);
-  for (const auto &[Name, Service] : *Now->ServiceViews)
+  Now->ServiceViews.forEach([&](const ServiceName &, const auto &Service) {
     Services.append(serviceDump(*Service));
+  });
   return Dump;
 }
 
--- a/tests/unit/record_parser_test.cpp
+++ b/tests/unit/record_parser_test.cpp
@@ -114,5 +114,17 @@
   EXPECT_EQ(Find("x", "/ab", "GET"), "root");
 }
 
+TEST(RouteTable, CopiesStayAsTheyWere) {
+  RouteTable Table;
+  Table.add(route("a", "", "/a", {}));
+  const RouteTable Before = Table;
+  Table.remove(route("a", "", "/a", {}));
+  Table.add(route("b", "", "/b", {}));
+  EXPECT_NE(Before.find("", "/a", "GET"), nullptr);
+  EXPECT_EQ(Before.find("", "/b", "GET"), nullptr);
+  EXPECT_EQ(Table.find("", "/a", "GET"), nullptr);
+  EXPECT_EQ(Table.size(), 1U);
+}
+
 } // namespace
 } // namespace siskinstage
