--- a/src/core/target_health.cpp
+++ b/src/core/target_health.cpp
@@ -92,8 +92,11 @@
   this->noteLeaving(Seen);
   if (Seen.What == Evidence::Shed || Seen.What == Evidence::Leaving)
     return;
-  // A probe that a gray target answers proves nothing.
-  if (Seen.FromProbe && Seen.What == Evidence::Success)
+  // A gray target answers its probes, and a health endpoint may lie both ways:
+  // of a probe only the lack of an answer counts.
+  const bool Answered =
+      Seen.What == Evidence::Success || Seen.What == Evidence::Failure;
+  if (Seen.FromProbe && Answered)
     return;
   if (tooShort(Seen, Limits, Usual))
     return;
--- a/tests/property/health_property_test.cpp
+++ b/tests/property/health_property_test.cpp
@@ -181,6 +181,17 @@
   EXPECT_TRUE(Health.takeReports(Instant{}).empty());
 }
 
+// Forty nodes that probe a lying health endpoint ejected a healthy target.
+TEST(ServiceHealth, AFailingHealthEndpointAloneProvesNothing) {
+  ServiceHealth Health;
+  Health.configure(service(10, DetectionPreference::Fast));
+  for (int I = 0; I < 20; ++I)
+    Health.observe({ServiceName("s"), TargetId("t0"), Evidence::Failure,
+                    std::chrono::milliseconds(1), Instant{}, true});
+  EXPECT_TRUE(Health.decide(Instant{})[0].Admitted);
+  EXPECT_TRUE(Health.takeReports(Instant{}).empty());
+}
+
 TEST(ServiceHealth, AHurriedCallerDoesNotBlameTheTarget) {
   ServiceHealth Health;
   Health.configure(service(10, DetectionPreference::Fast));
