A key whose flight ends in an exception ends too; the benches share one chaos thread

Cause: reading the whole change again: an exception in dispatchOwned would have left its key claimed for the life of the process, with resends waiting for it and its epoch never forgotten. Two benches held the same thread's set-up.

No check, bound or seed changed. The exception itself is not provoked by a test.

--- a/bench/at_most_once.py
+++ b/bench/at_most_once.py
@@ -3,11 +3,11 @@
 ledger, which outlives their crashes, is the judge."""
 
 import pathlib
-import random
 import signal
 import threading
 import time
 
+from chaos import Chaos
 from fleet import ROOT, Fleet, finish_load, start_load
 from report_lines import Report
 
@@ -21,14 +21,11 @@
                  "&silent=0.002&cut=0.004&wrong_id=0.001&down_ms=400")
 
 
-class Chaos(threading.Thread):
+class NodeChaos(Chaos):
     """Kills, pauses and replaces nodes and silences connections."""
 
     def __init__(self, fleet, seed):
-        super().__init__()
-        self.fleet = fleet
-        self.dice = random.Random(seed)
-        self.ended = threading.Event()
+        super().__init__(fleet, seed)
         self.events = 0
 
     def run(self):
@@ -94,11 +91,10 @@
             rate=RATE, seconds=1.05 * REQUESTS / RATE, cost_us=3000, cost_spread=10,
             accounts=50, resends=4, resend_after_ms=300, deadline_ms=1500,
             connections=400, seed=SEED, log=log)
-        chaos = Chaos(fleet, SEED)
+        chaos = NodeChaos(fleet, SEED)
         chaos.start()
         figures = finish_load(load)
-        chaos.ended.set()
-        chaos.join()
+        chaos.finish()
         time.sleep(PAUSE_SECONDS + 1)  # paused nodes wake up late
         judge(report, log, fleet.ledger())
         crashes = sum(t["crashes"] for t in fleet.target_stats())
--- a/bench/upload.py
+++ b/bench/upload.py
@@ -1,10 +1,9 @@
 """Uploads of 8 MiB while targets drain and connections break: nothing short or
 altered may be reported as a success, and the node's memory stays flat."""
 
-import random
-import threading
 import time
 
+from chaos import Chaos
 from fleet import Fleet, finish_load, process_usage, start_load
 from report_lines import Report
 
@@ -18,14 +17,11 @@
 SERVICE = "lab-intake"
 
 
-class Chaos(threading.Thread):
+class TargetChaos(Chaos):
     """Drains targets one after another and breaks connections."""
 
     def __init__(self, fleet, seed):
-        super().__init__()
-        self.fleet = fleet
-        self.dice = random.Random(seed)
-        self.ended = threading.Event()
+        super().__init__(fleet, seed)
         self.resident = []
 
     def run(self):
@@ -51,14 +47,13 @@
                       answer_bytes=100, cost_us=20000, deadline_ms=20000,
                       connections=CONNECTIONS)
         finish_load(start_load(rate=RATE, seconds=2, seed=1, **common))
-        chaos = Chaos(fleet, SEED)
+        chaos = TargetChaos(fleet, SEED)
         before, _ = process_usage(fleet.pid("node-0"))
         load = start_load(rate=RATE, seconds=1.15 * UPLOADS / RATE, seed=SEED,
                           **common)
         chaos.start()
         figures = finish_load(load)
-        chaos.ended.set()
-        chaos.join()
+        chaos.finish()
         time.sleep(1)
         peak = max(chaos.resident)
     report.add("uploads", figures["sent"], "uploads", at_least=UPLOADS)
--- a/src/node/request_flow.cpp
+++ b/src/node/request_flow.cpp
@@ -16,6 +16,20 @@
 
 namespace {
 
+/// Ends a key whose flight was left by an exception, so that no resend waits
+/// for it; a key that has ended stays as it is.
+class KeyEnd {
+public:
+  KeyEnd(KeyOwner &Keys, const std::string &Key) : Keys(Keys), Key(Key) {}
+  ~KeyEnd() { this->Keys.endNotRun(this->Key); }
+  KeyEnd(const KeyEnd &) = delete;
+  KeyEnd &operator=(const KeyEnd &) = delete;
+
+private:
+  KeyOwner &Keys;
+  const std::string &Key;
+};
+
 Fingerprint fingerprintOf(const std::string &Text) {
   return {XXH3_64bits(Text.data(), Text.size())};
 }
@@ -236,6 +250,7 @@
 
 void RequestFlow::dispatchOwned(const RequestKey &Key) {
   KeyOwner &Keys = this->Context.Keys;
+  const KeyEnd End(Keys, Key.Text);
   // Whatever refuses the request from here on ends its key as not run, so that
   // no late copy runs after its caller was told.
   if (!this->route()) {
@@ -251,14 +266,14 @@
   }
   if (this->Body.whole())
     Keys.setBodyHash(Key.Text, this->Body.hash());
-  DispatchEnd End = this->dispatchLimited(Key.Text);
+  DispatchEnd Dispatched = this->dispatchLimited(Key.Text);
   if (this->Body.whole())
     Keys.setBodyHash(Key.Text, this->Body.hash());
-  auto *Answer = std::get_if<DispatchedAnswer>(&End);
+  auto *Answer = std::get_if<DispatchedAnswer>(&Dispatched);
   if (Answer == nullptr) {
     // A key in flight ends as uncertain.
     Keys.endNotRun(Key.Text);
-    this->give(End);
+    this->give(Dispatched);
     return;
   }
   // The answer is kept before the caller gets it: a caller that misses it can
@@ -266,7 +281,7 @@
   if (Answer->Exchange->whole())
     Keys.endAnswered(Key.Text, std::make_shared<const StoredAnswer>(
                                    Answer->Exchange->answer()));
-  this->give(End);
+  this->give(Dispatched);
   Keys.endAnswered(Key.Text, nullptr);
 }
 
