--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -52,11 +52,27 @@
 inline constexpr std::chrono::milliseconds RetryBackoffBase = 2ms;
 inline constexpr std::chrono::milliseconds RetryBackoffCap = 100ms;
 
+/// When a refused request may come again: after about one request's length, in
+/// which a slot becomes free.
+inline constexpr std::chrono::milliseconds RetryAfterLeast = 200ms;
+inline constexpr std::chrono::milliseconds RetryAfterMost = 600ms;
+/// Part of a route's objective after which a request is overdue while the
+/// service's usual latency is not known: another try must still fit in.
+inline constexpr double OverdueObjectivePart = 0.6;
+
 // Admission to a service whose slots are all taken.
 inline constexpr int MaxQueuePerService = 256;
 inline constexpr std::chrono::milliseconds MaxQueueWait = 2s;
 inline constexpr std::chrono::milliseconds QueuePollPeriod = 20ms;
 
+// Choice among targets.
+/// What a target of another failure domain must be less loaded by, as a share
+/// of its slots: below one request of three, so that a free one is taken.
+inline constexpr double OtherDomainHandicap = 0.25;
+/// The load that a target stated counts for this long: the length of a usual
+/// request, after which half of what it ran has ended.
+inline constexpr std::chrono::milliseconds ReportedLoadAge = 300ms;
+
 // Idempotency keys.
 inline constexpr std::chrono::seconds KeyEpochLength = 300s;
 /// A key stays valid in its own epoch and in this many later ones.
@@ -141,6 +157,10 @@
 inline constexpr std::chrono::milliseconds MemberSyncPeriod = 10s;
 inline constexpr std::chrono::milliseconds MemberSyncPerMember = 100ms;
 
+/// A node that has heard of no other for so long reads the platform itself: a
+/// few periods, in each of which a datagram or more is usual.
+inline constexpr std::chrono::milliseconds GossipSilence = 1200ms;
+
 // Configuration between nodes.
 inline constexpr std::size_t WatchersPerDomain = 2;
 inline constexpr std::size_t NewsFanout = 4;
--- a/include/siskinstage/record.h
+++ b/include/siskinstage/record.h
@@ -2,9 +2,11 @@
 #define SISKINSTAGE_RECORD_H
 
 #include "siskinstage/account_record.h"
+#include "siskinstage/bundle_record.h"
 #include "siskinstage/fleet_record.h"
 #include "siskinstage/route_record.h"
 #include "siskinstage/service_record.h"
+#include "siskinstage/target_record.h"
 #include "siskinstage/units.h"
 
 #include <memory>
@@ -16,7 +18,7 @@
 /// The newest schema version; older records are upgraded to it in memory.
 inline constexpr int NewestSchema = 2;
 
-enum class RecordKind { Service, Route, Account, Fleet };
+enum class RecordKind { Service, Route, Account, Fleet, Target, Bundle };
 
 /// Name of \p Kind as records write it.
 const char *recordKindName(RecordKind Kind);
@@ -24,8 +26,9 @@
 /// Marks a record as deleted; its revision keeps older copies from returning.
 struct Tombstone {};
 
-using RecordBody = std::variant<Tombstone, ServiceRecord, RouteRecord,
-                                AccountRecord, FleetRecord>;
+using RecordBody =
+    std::variant<Tombstone, ServiceRecord, RouteRecord, AccountRecord,
+                 FleetRecord, TargetRecord, BundleRecord>;
 
 /// Kind and name, by which one record is told from another.
 struct RecordKey {
--- a/include/siskinstage/service_record.h
+++ b/include/siskinstage/service_record.h
@@ -14,13 +14,23 @@
 enum class DetectionPreference { Fast, Careful };
 
 /// How a node chooses among the targets of a service.
-enum class RoutingPolicy { Random, RoundRobin, LeastInFlight, TwoChoices };
+enum class RoutingPolicy {
+  Random,
+  RoundRobin,
+  LeastInFlight,
+  TwoChoices,
+  DomainFirst
+};
 
 /// One target as a service record lists it.
 struct TargetSpec {
   TargetId Id;
   Address Where;
   FailureDomain Domain;
+  Slots Capacity{0};     ///< Zero for the service's slots per target.
+  bool Leaving = false;  ///< Takes no new work.
+  Millis Warmup{};       ///< How long it stays slow after its start.
+  Incarnation Process{}; ///< Changes when the target starts again.
   bool operator==(const TargetSpec &) const = default;
 };
 
@@ -36,6 +46,8 @@
   Millis Deadline = config::DefaultDeadline;
   /// An answer without the request's id is refused.
   bool RequireEcho = false;
+  /// Where the target answers probes of its health.
+  std::string HealthPath = "/healthz";
 };
 
 } // namespace siskinstage
--- a/src/core/gossip_codec.cpp
+++ b/src/core/gossip_codec.cpp
@@ -68,7 +68,7 @@
 };
 
 Result<GossipBody> readRecordNews(const Json::Value &Value) {
-  constexpr int Kinds = static_cast<int>(RecordKind::Fleet) + 1;
+  constexpr int Kinds = static_cast<int>(RecordKind::Bundle) + 1;
   if (!Value["c"].isInt() || Value["c"].asInt() < 0 ||
       Value["c"].asInt() >= Kinds)
     return bad("c");
--- a/src/core/pick.cpp
+++ b/src/core/pick.cpp
@@ -12,6 +12,8 @@
     return PickLeastInFlight{};
   case RoutingPolicy::TwoChoices:
     return PickTwoChoices{};
+  case RoutingPolicy::DomainFirst:
+    return PickDomainFirst{};
   }
   return PickTwoChoices{};
 }
--- a/src/core/pick.h
+++ b/src/core/pick.h
@@ -16,6 +16,7 @@
   std::uint32_t Index = 0;    ///< Place in the service's list of targets.
   std::uint32_t InFlight = 0; ///< Requests of this node at the target.
   std::uint32_t Reported = 0; ///< Requests that the target last reported.
+  std::uint32_t Capacity = 1; ///< Requests that it works on at once.
   bool SameDomain = false;    ///< In the failure domain of this node.
 };
 
@@ -34,8 +35,12 @@
 /// flight and the load that the target reported.
 struct PickTwoChoices {};
 
-using Policy =
-    std::variant<PickRandom, PickRoundRobin, PickLeastInFlight, PickTwoChoices>;
+/// The least load for its capacity, with a handicap for the targets of other
+/// failure domains; one of the equal ones at random.
+struct PickDomainFirst {};
+
+using Policy = std::variant<PickRandom, PickRoundRobin, PickLeastInFlight,
+                            PickTwoChoices, PickDomainFirst>;
 
 /// The policy object that a record's name stands for.
 Policy makePolicy(RoutingPolicy Name);
@@ -53,6 +58,8 @@
                        const std::vector<Candidate> &Candidates, Random &Dice);
 std::uint32_t pickWith(PickTwoChoices &How,
                        const std::vector<Candidate> &Candidates, Random &Dice);
+std::uint32_t pickWith(PickDomainFirst &How,
+                       const std::vector<Candidate> &Candidates, Random &Dice);
 
 } // namespace siskinstage
 
--- /dev/null
+++ b/src/core/pick_domain_first.cpp
@@ -0,0 +1,38 @@
+#include "core/pick.h"
+#include "siskinstage/config.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace siskinstage {
+
+namespace {
+
+double costOf(const Candidate &Each) {
+  const double Load = std::max(Each.InFlight, Each.Reported);
+  const double Capacity = std::max<std::uint32_t>(Each.Capacity, 1);
+  return Load / Capacity +
+         (Each.SameDomain ? 0.0 : config::OtherDomainHandicap);
+}
+
+} // namespace
+
+std::uint32_t pickWith(PickDomainFirst & /*How*/,
+                       const std::vector<Candidate> &Candidates, Random &Dice) {
+  double Least = std::numeric_limits<double>::max();
+  std::uint32_t Equal = 0;
+  std::uint32_t Chosen = 0;
+  for (const Candidate &Each : Candidates) {
+    const double Cost = costOf(Each);
+    if (Cost > Least)
+      continue;
+    Equal = Cost < Least ? 1 : Equal + 1;
+    Least = Cost;
+    // Each of the equal ones is kept with the same chance.
+    if (Dice.below(Equal) == 0)
+      Chosen = Each.Index;
+  }
+  return Chosen;
+}
+
+} // namespace siskinstage
--- a/src/core/record_parser.cpp
+++ b/src/core/record_parser.cpp
@@ -19,11 +19,16 @@
 constexpr double MaxRate = 1e9;
 constexpr std::size_t MaxNameBytes = 200;
 
-const std::vector<std::string> KindNames = {"service", "route", "account",
-                                            "fleet"};
+constexpr std::uint64_t MaxWeight = 1'000'000;
+constexpr std::uint64_t MaxAttempts = 100;
+constexpr std::uint64_t MaxPriority = 1'000;
+
+const std::vector<std::string> KindNames = {"service", "route",  "account",
+                                            "fleet",   "target", "bundle"};
 const std::vector<std::string> DetectionNames = {"fast", "careful"};
 const std::vector<std::string> PolicyNames = {"random", "round_robin",
-                                              "least_in_flight", "two_choices"};
+                                              "least_in_flight", "two_choices",
+                                              "domain_first"};
 
 bool isNameByte(char Byte) {
   return std::isalnum(static_cast<unsigned char>(Byte)) != 0 || Byte == '-' ||
@@ -42,6 +47,28 @@
   return Name;
 }
 
+std::uint64_t mostMs() {
+  return static_cast<std::uint64_t>(config::MaxDeadline.count());
+}
+
+/// The fields of a target but its id.
+TargetSpec readTargetFields(FieldReader &Fields) {
+  TargetSpec Target;
+  Target.Where = Address(Fields.requiredText("address"));
+  Target.Domain = FailureDomain(Fields.text("domain", ""));
+  if (!Target.Where.empty() && !parseAddress(Target.Where.str()))
+    Fields.fault("address", "an IPv4 address and port, as 10.0.0.1:8080");
+  Target.Capacity.Value =
+      static_cast<std::uint32_t>(Fields.number("slots", 0, 0, MaxSlots));
+  Target.Leaving = Fields.flag("leaving").value_or(false);
+  Target.Warmup = Millis(Fields.number("warmup_ms", 0, 0, mostMs()));
+  Target.Process.Value =
+      Fields.number("incarnation", 0, 0,
+                    static_cast<std::uint64_t>(
+                        std::numeric_limits<std::int64_t>::max()));
+  return Target;
+}
+
 TargetSpec readTarget(const Json::Value &Value, const std::string &Path,
                       RecordReading &Reading) {
   if (!Value.isObject()) {
@@ -50,12 +77,8 @@
     return {};
   }
   FieldReader Fields(Value, Path, Reading.Faults);
-  TargetSpec Target;
-  Target.Where = Address(Fields.requiredText("address"));
+  TargetSpec Target = readTargetFields(Fields);
   Target.Id = TargetId(Fields.text("id", Target.Where.str()));
-  Target.Domain = FailureDomain(Fields.text("domain", ""));
-  if (!Target.Where.empty() && !parseAddress(Target.Where.str()))
-    Fields.fault("address", "an IPv4 address and port, as 10.0.0.1:8080");
   for (const std::string &Field : Fields.unknownFields())
     Reading.Warnings.push_back("unknown field " + Field);
   return Target;
@@ -78,11 +101,10 @@
   return Targets;
 }
 
-ServiceRecord readService(FieldReader &Fields, RecordReading &Reading,
-                          const std::string &Name) {
+/// The fields of a service but its targets.
+ServiceRecord readServiceFields(FieldReader &Fields, const std::string &Name) {
   ServiceRecord Service;
   Service.Name = ServiceName(Name);
-  Service.Targets = readTargets(Fields, Reading);
   Service.SlotsPerTarget.Value =
       static_cast<std::uint32_t>(Fields.number("slots", 3, 1, MaxSlots));
   Service.Floor = Fields.fraction("floor", 0.5, 0, 1);
@@ -91,14 +113,45 @@
   Service.Policy = static_cast<RoutingPolicy>(
       Fields.choice("policy", PolicyNames,
                     static_cast<std::size_t>(RoutingPolicy::TwoChoices)));
-  const auto MostMs = static_cast<std::uint64_t>(config::MaxDeadline.count());
   const auto UsualMs =
       static_cast<std::uint64_t>(config::DefaultDeadline.count());
-  Service.Deadline = Millis(Fields.number("deadline_ms", UsualMs, 1, MostMs));
+  Service.Deadline = Millis(Fields.number("deadline_ms", UsualMs, 1, mostMs()));
   Service.RequireEcho = Fields.flag("require_echo").value_or(false);
+  Service.HealthPath = Fields.text("health_path", Service.HealthPath);
+  if (Service.HealthPath.empty() || Service.HealthPath.front() != '/')
+    Fields.fault("health_path", "a path that starts with \"/\"");
+  return Service;
+}
+
+ServiceRecord readService(FieldReader &Fields, RecordReading &Reading,
+                          const std::string &Name) {
+  ServiceRecord Service = readServiceFields(Fields, Name);
+  Service.Targets = readTargets(Fields, Reading);
   return Service;
 }
 
+std::vector<RouteBackend> readBackends(FieldReader &Fields,
+                                       RecordReading &Reading) {
+  std::vector<RouteBackend> Backends;
+  const Json::Value &List = Fields.list("backends", false);
+  for (Json::ArrayIndex I = 0; I < List.size(); ++I) {
+    const std::string Path =
+        Fields.pathOf("backends[" + std::to_string(I) + "]");
+    if (!List[I].isObject()) {
+      Reading.Faults.push_back(
+          {Path, "no object", "an object with service and weight"});
+      continue;
+    }
+    FieldReader Backend(List[I], Path, Reading.Faults);
+    RouteBackend Read;
+    Read.Service = ServiceName(readName(Backend, "service"));
+    Read.Weight =
+        static_cast<std::uint32_t>(Backend.number("weight", 1, 0, MaxWeight));
+    Backends.push_back(std::move(Read));
+  }
+  return Backends;
+}
+
 RouteRecord readRoute(FieldReader &Fields, RecordReading &Reading,
                       const std::string &Name) {
   RouteRecord Route;
@@ -109,17 +162,71 @@
   Route.PathPrefix = Fields.requiredText("path_prefix");
   if (!Route.PathPrefix.empty() && Route.PathPrefix.front() != '/')
     Fields.fault("path_prefix", "a path that starts with \"/\"");
+  Route.BelowPrefixOnly = Fields.flag("below_prefix_only").value_or(false);
   Route.Methods = Fields.textList("methods");
   for (const std::string &Method : Route.Methods)
     if (!std::all_of(Method.begin(), Method.end(),
                      [](unsigned char C) { return std::isupper(C) != 0; }))
       Reading.Faults.push_back({Fields.pathOf("methods"), "\"" + Method + "\"",
                                 "a method in capitals, as \"GET\""});
-  Route.Service = ServiceName(readName(Fields, "service"));
+  Route.Backends = readBackends(Fields, Reading);
+  if (Route.Backends.empty())
+    Route.Service = ServiceName(readName(Fields, "service"));
   Route.Repeatable = Fields.flag("repeatable");
+  Route.MaxAttempts =
+      static_cast<std::uint32_t>(Fields.number("max_attempts", 0, 0,
+                                               MaxAttempts));
+  Route.Timeout = Millis(Fields.number("timeout_ms", 0, 0, mostMs()));
+  Route.Objective = Millis(Fields.number("objective_ms", 0, 0, mostMs()));
+  Route.Priority =
+      static_cast<std::uint32_t>(Fields.number("priority", 0, 0, MaxPriority));
   return Route;
 }
 
+TargetRecord readTargetRecord(FieldReader &Fields, const std::string &Name) {
+  TargetRecord Target;
+  Target.Service = ServiceName(readName(Fields, "service"));
+  Target.Spec = readTargetFields(Fields);
+  Target.Spec.Id = TargetId(Name);
+  return Target;
+}
+
+/// Reads each object of the list \p Field of a bundle by \p Read.
+template <typename T, typename Reader>
+std::vector<T> readParts(FieldReader &Fields, RecordReading &Reading,
+                         const std::string &Field, Reader Read) {
+  std::vector<T> Parts;
+  const Json::Value &List = Fields.list(Field, true);
+  for (Json::ArrayIndex I = 0; I < List.size(); ++I) {
+    const std::string Path =
+        Fields.pathOf(Field + "[" + std::to_string(I) + "]");
+    if (!List[I].isObject()) {
+      Reading.Faults.push_back({Path, "no object", "an object"});
+      continue;
+    }
+    FieldReader Part(List[I], Path, Reading.Faults);
+    Parts.push_back(Read(Part, readName(Part, "name")));
+    for (const std::string &Unknown : Part.unknownFields())
+      Reading.Warnings.push_back("unknown field " + Unknown);
+  }
+  return Parts;
+}
+
+BundleRecord readBundle(FieldReader &Fields, RecordReading &Reading) {
+  BundleRecord Bundle;
+  Bundle.Routes = readParts<RouteRecord>(
+      Fields, Reading, "routes",
+      [&](FieldReader &Part, const std::string &Name) {
+        return readRoute(Part, Reading, Name);
+      });
+  Bundle.Services = readParts<ServiceRecord>(
+      Fields, Reading, "services",
+      [](FieldReader &Part, const std::string &Name) {
+        return readServiceFields(Part, Name);
+      });
+  return Bundle;
+}
+
 AccountRecord readAccount(FieldReader &Fields, const std::string &Name) {
   AccountRecord Account;
   Account.Name = AccountName(Name);
@@ -150,6 +257,10 @@
     return readAccount(Fields, Key.Name);
   case RecordKind::Fleet:
     return readFleet(Fields, Key.Name);
+  case RecordKind::Target:
+    return readTargetRecord(Fields, Key.Name);
+  case RecordKind::Bundle:
+    return readBundle(Fields, Reading);
   }
   return Tombstone{};
 }
--- a/src/core/route_table.cpp
+++ b/src/core/route_table.cpp
@@ -14,10 +14,13 @@
   return Result;
 }
 
+/// \param Below the path goes on behind the prefix.
 const RouteRecord *forMethod(const std::vector<RouteRecord> &Routes,
-                             std::string_view Method) {
+                             std::string_view Method, bool Below) {
   const RouteRecord *AnyMethod = nullptr;
   for (const RouteRecord &Route : Routes) {
+    if (Route.BelowPrefixOnly && !Below)
+      continue;
     if (Route.Methods.empty())
       AnyMethod = &Route;
     else if (std::find(Route.Methods.begin(), Route.Methods.end(), Method) !=
@@ -62,12 +65,14 @@
 }
 
 const RouteRecord *RouteTable::findAt(const std::string &Host,
-                                      std::string Prefix,
+                                      std::string_view Path,
                                       std::string_view Method) const {
+  std::string Prefix = normalized(std::string(Path));
   while (true) {
     const auto *Routes = this->ByPrefix.find(keyOf(Host, Prefix));
     if (Routes != nullptr)
-      if (const RouteRecord *Route = forMethod(*Routes, Method))
+      if (const RouteRecord *Route = forMethod(*Routes, Method,
+                                               Path.size() > Prefix.size()))
         return Route;
     if (Prefix.empty())
       return nullptr;
@@ -79,10 +84,9 @@
 const RouteRecord *RouteTable::find(const std::string &Host,
                                     std::string_view Path,
                                     std::string_view Method) const {
-  const std::string Prefix = normalized(std::string(Path));
-  if (const RouteRecord *Route = this->findAt(Host, Prefix, Method))
+  if (const RouteRecord *Route = this->findAt(Host, Path, Method))
     return Route;
-  return Host.empty() ? nullptr : this->findAt("", Prefix, Method);
+  return Host.empty() ? nullptr : this->findAt("", Path, Method);
 }
 
 } // namespace siskinstage
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -32,7 +32,7 @@
   std::size_t Count = 0;
 
   [[nodiscard]] const RouteRecord *findAt(const std::string &Host,
-                                          std::string Prefix,
+                                          std::string_view Path,
                                           std::string_view Method) const;
 };
 
--- a/src/core/service_health.cpp
+++ b/src/core/service_health.cpp
@@ -23,11 +23,20 @@
 
 } // namespace
 
-void ServiceHealth::configure(const ServiceRecord &New) {
+void ServiceHealth::configure(const ServiceRecord &New, Instant Now) {
   std::map<TargetId, Tracked> Kept;
   for (const TargetSpec &Spec : New.Targets) {
     const auto Found = this->Targets.find(Spec.Id);
-    Kept[Spec.Id] = Found == this->Targets.end() ? Tracked{} : Found->second;
+    const bool Known = Found != this->Targets.end() &&
+                       Found->second.Process == Spec.Process;
+    Tracked &Each = Kept[Spec.Id];
+    if (Known) {
+      Each = Found->second;
+      continue;
+    }
+    Each.Process = Spec.Process;
+    if (Spec.Warmup > Millis::zero())
+      Each.Health.warmUp(Now, Spec.Warmup);
   }
   this->Targets = std::move(Kept);
   this->Record = New;
@@ -97,9 +106,11 @@
     Tracked &Each = this->Targets[Spec.Id];
     Each.Health.advance(Now);
     const bool Eject = Each.Health.state() == TargetHealth::State::Ejected;
-    const bool Leaving = Each.Health.leaving() || Each.ListedLeaving;
-    Wishes.push_back(
-        {this->Record.SlotsPerTarget, Leaving, Eject, Each.Health.sickness()});
+    const bool Leaving =
+        Each.Health.leaving() || Each.ListedLeaving || Spec.Leaving;
+    const Slots Capacity =
+        Spec.Capacity.Value > 0 ? Spec.Capacity : this->Record.SlotsPerTarget;
+    Wishes.push_back({Capacity, Leaving, Eject, Each.Health.sickness()});
   }
   const std::vector<bool> Admitted =
       admitAboveFloor(Wishes, this->Record.Floor);
--- a/src/core/service_health.h
+++ b/src/core/service_health.h
@@ -41,8 +41,8 @@
       : OwnDomain(std::move(OwnDomain)), How(How) {}
 
   /// Takes over a new version of the record; targets that stay keep their
-  /// history.
-  void configure(const ServiceRecord &Record);
+  /// history, unless they have started again.
+  void configure(const ServiceRecord &Record, Instant Now = {});
   /// Which targets the instance list calls leaving.
   void setListedLeaving(const std::set<Address> &Leaving);
   void observe(const Observation &Seen);
@@ -59,6 +59,7 @@
   /// One target with its evidence.
   struct Tracked {
     TargetHealth Health;
+    Incarnation Process;
     bool ListedLeaving = false;
     std::uint32_t ReportedStreak = 0;
     bool ReportedLeaving = false;
--- a/src/core/steering.cpp
+++ b/src/core/steering.cpp
@@ -64,6 +64,12 @@
   return Group;
 }
 
+std::vector<SteeringNode>
+domainEntries(const std::vector<SteeringNode> &Nodes, std::size_t PerDomain) {
+  return serviceGroup(Nodes, ServiceName("entries of a failure domain"),
+                      PerDomain);
+}
+
 std::vector<SteeringNode> accountEntries(const std::vector<SteeringNode> &Group,
                                          const AccountName &Account,
                                          std::size_t Count) {
--- a/src/core/target_health.cpp
+++ b/src/core/target_health.cpp
@@ -233,11 +233,19 @@
   this->Why = std::move(Reason);
 }
 
+void TargetHealth::warmUp(Instant At, Duration Length) {
+  this->Now = State::Probation;
+  this->Ramp = Length;
+  this->Until = At + Length;
+  this->Why = "warming up after its start";
+}
+
 void TargetHealth::advance(Instant At) {
   if (this->Now == State::Ejected && At >= this->Until) {
     this->Now = State::Probation;
     this->ByGroup = false;
-    this->Until = At + config::ProbationRamp;
+    this->Ramp = config::ProbationRamp;
+    this->Until = At + this->Ramp;
     this->Window.clear();
     this->Percentiles.reset();
     this->Reports.clear();
@@ -293,7 +301,7 @@
     return 1.0;
   const Duration Left = std::max(this->Until - At, Duration::zero());
   const double Passed =
-      1.0 - inNanoseconds(Left) / inNanoseconds(config::ProbationRamp);
+      1.0 - inNanoseconds(Left) / inNanoseconds(this->Ramp);
   return std::clamp(Passed, LeastShare, 1.0);
 }
 
--- a/src/core/target_health.h
+++ b/src/core/target_health.h
@@ -29,6 +29,8 @@
   /// Takes in what another node reported.
   void report(const PeerReport &Report, const DetectionLimits &Limits,
               const FailureDomain &OwnDomain);
+  /// Begins with a share that grows over \p Length: the target is cold.
+  void warmUp(Instant At, Duration Length);
   /// Lets time pass: ejection to probation, probation to healthy.
   void advance(Instant Now);
 
@@ -73,6 +75,7 @@
   std::uint32_t Ejections = 0;
   Instant LastEjection;
   Instant Until;
+  Duration Ramp{}; ///< Length of the present probation.
   std::string Why = "no failures seen";
 
   void noteLeaving(const Observation &Seen);
--- a/src/node/caller_connection.cpp
+++ b/src/node/caller_connection.cpp
@@ -31,7 +31,8 @@
                            {Step::ReadRequest, "caller", Why.Reason},
                            std::nullopt};
   Context.Measured.refused(Step::ReadRequest, Outcome::NotRun);
-  CallerReply(Caller, Context.newRequestId()).refuse(Refused);
+  CallerReply(Caller, Context.newRequestId(), Context.Set.Speak)
+      .refuse(Refused);
 }
 
 } // namespace
@@ -98,7 +99,8 @@
     return false;
   }
   const auto Request =
-      readCallerRequest(*Head, this->Context.newRequestId(), Arrived);
+      readCallerRequest(*Head, this->Context.newRequestId(), Arrived,
+                        this->Context.Set.Speak);
   if (!Request) {
     refuseHead(this->Context, Caller, Request.error());
     return false;
--- a/src/node/caller_reply.cpp
+++ b/src/node/caller_reply.cpp
@@ -1,8 +1,9 @@
 #include "node/caller_reply.h"
 #include "net/boot_time.h"
-#include "node/header_names.h"
 #include "siskinstage/config.h"
 
+#include <Poco/NumberFormatter.h>
+
 namespace siskinstage {
 
 namespace {
@@ -26,13 +27,14 @@
 
 } // namespace
 
-CallerReply::CallerReply(Wire &Caller, const CallerRequest &Request)
-    : Caller(Caller), Id(Request.Id), Http10(Request.Http10),
+CallerReply::CallerReply(Wire &Caller, const CallerRequest &Request,
+                         const Dialect &Speak)
+    : Caller(Caller), Speak(Speak), Id(Request.Id), Http10(Request.Http10),
       HeadOnly(Request.Head.getMethod() == "HEAD"),
       Keyed(Request.Key.has_value()), Close(!keepsConnection(Request)) {}
 
-CallerReply::CallerReply(Wire &Caller, RequestId Id)
-    : Caller(Caller), Id(std::move(Id)), Close(true) {}
+CallerReply::CallerReply(Wire &Caller, RequestId Id, const Dialect &Speak)
+    : Caller(Caller), Speak(Speak), Id(std::move(Id)), Close(true) {}
 
 HTTPResponse CallerReply::headOf(const StoredAnswer &Answer) {
   HTTPResponse Head(HTTPMessage::HTTP_1_1,
@@ -40,7 +42,7 @@
                     Answer.Reason);
   for (const auto &[Name, Value] : Answer.Headers)
     Head.add(Name, Value);
-  Head.set(header::RequestId, this->Id.str());
+  Head.set(this->Speak.RequestId, this->Id.str());
   this->Status = Answer.Status;
   return Head;
 }
@@ -58,19 +60,24 @@
   Answer.Status = Refused.Status;
   Answer.Reason = HTTPResponse::getReasonForStatus(
       static_cast<HTTPResponse::HTTPStatus>(Refused.Status));
-  Answer.Headers = {{"Content-Type", "application/json"},
-                    {header::Outcome, outcomeName(Refused.What)}};
-  if (Refused.RetryAfter) {
-    const auto Seconds =
-        std::chrono::ceil<std::chrono::seconds>(*Refused.RetryAfter);
-    Answer.Headers.emplace_back(
-        "Retry-After",
-        std::to_string(std::max<std::int64_t>(1, Seconds.count())));
-  }
+  Answer.Headers = {{"Content-Type", "application/json"}};
+  if (!this->Speak.Outcome.empty())
+    Answer.Headers.emplace_back(this->Speak.Outcome, outcomeName(Refused.What));
+  if (Refused.RetryAfter)
+    Answer.Headers.emplace_back("Retry-After",
+                                this->secondsText(*Refused.RetryAfter));
   Answer.Body = refusalBody(Refused, this->Keyed);
   this->whole(Answer);
 }
 
+std::string CallerReply::secondsText(Duration Length) const {
+  if (this->Speak.FractionalRetryAfter)
+    return Poco::NumberFormatter::format(
+        std::chrono::duration<double>(Length).count(), 3);
+  const auto Seconds = std::chrono::ceil<std::chrono::seconds>(Length);
+  return std::to_string(std::max<std::int64_t>(1, Seconds.count()));
+}
+
 void CallerReply::whole(const StoredAnswer &Answer) {
   HTTPResponse Head = this->headOf(Answer);
   // The answer to HEAD keeps the length that the target stated.
--- a/src/node/caller_reply.h
+++ b/src/node/caller_reply.h
@@ -11,9 +11,10 @@
 /// Writes the one answer of a request to its caller.
 class CallerReply {
 public:
-  CallerReply(Wire &Caller, const CallerRequest &Request);
+  CallerReply(Wire &Caller, const CallerRequest &Request,
+              const Dialect &Speak = OwnDialect);
   /// For a request that could not be read.
-  CallerReply(Wire &Caller, RequestId Id);
+  CallerReply(Wire &Caller, RequestId Id, const Dialect &Speak = OwnDialect);
 
   void refuse(const Refusal &Refused);
   void whole(const StoredAnswer &Answer);
@@ -32,6 +33,7 @@
 
 private:
   Wire &Caller;
+  const Dialect &Speak;
   RequestId Id;
   bool Http10 = false;
   bool HeadOnly = false;
@@ -41,6 +43,7 @@
   int Status = 0;
 
   Poco::Net::HTTPResponse headOf(const StoredAnswer &Answer);
+  [[nodiscard]] std::string secondsText(Duration Length) const;
   void send(std::string_view Bytes);
 };
 
--- a/src/node/caller_request.cpp
+++ b/src/node/caller_request.cpp
@@ -15,18 +15,19 @@
 
 /// The only value of the header, nothing if it is not there.
 HttpResult<std::optional<std::string>>
-singleValue(const Poco::Net::HTTPRequest &Head, const char *Name) {
+singleValue(const Poco::Net::HTTPRequest &Head, const std::string &Name) {
+  if (Name.empty())
+    return std::optional<std::string>();
   const std::vector<std::string> Values = headerValues(Head, Name);
   if (Values.empty())
     return std::optional<std::string>();
   if (Values.size() > 1)
-    return refuse(400, std::string("header ") + Name +
-                           " stands there more than once");
+    return refuse(400, "header " + Name + " stands there more than once");
   return std::optional<std::string>(Values.front());
 }
 
 HttpResult<std::optional<std::int64_t>>
-singleNumber(const Poco::Net::HTTPRequest &Head, const char *Name,
+singleNumber(const Poco::Net::HTTPRequest &Head, const std::string &Name,
              std::int64_t Least, std::int64_t Most) {
   const auto Text = singleValue(Head, Name);
   if (!Text)
@@ -38,7 +39,7 @@
   const char *Last = First + (*Text)->size();
   const auto [Next, Fault] = std::from_chars(First, Last, Number);
   if (Fault != std::errc{} || Next != Last || Number < Least || Number > Most)
-    return refuse(400, std::string("header ") + Name + " is \"" + **Text +
+    return refuse(400, "header " + Name + " is \"" + **Text +
                            "\", allowed is a number from " +
                            std::to_string(Least) + " to " +
                            std::to_string(Most));
@@ -66,7 +67,7 @@
   Request.Head.setURI(Rest);
 }
 
-HttpResult<void> readTarget(CallerRequest &Request) {
+HttpResult<void> readTarget(CallerRequest &Request, const Dialect &) {
   const std::vector<std::string> Hosts = headerValues(Request.Head, "Host");
   if (Hosts.size() > 1 || (Hosts.empty() && !Request.Http10))
     return refuse(400, "header Host must stand there once");
@@ -88,7 +89,7 @@
   return {};
 }
 
-HttpResult<void> readExpect(CallerRequest &Request) {
+HttpResult<void> readExpect(CallerRequest &Request, const Dialect &) {
   const auto Expect = singleValue(Request.Head, "Expect");
   if (!Expect)
     return tl::unexpected<HttpRefusal>(Expect.error());
@@ -101,8 +102,8 @@
   return {};
 }
 
-HttpResult<void> readOwnHeaders(CallerRequest &Request) {
-  const auto TimeLeft = singleNumber(Request.Head, header::Deadline, 1,
+HttpResult<void> readOwnHeaders(CallerRequest &Request, const Dialect &Speak) {
+  const auto TimeLeft = singleNumber(Request.Head, Speak.Deadline, 0,
                                      config::MaxDeadline.count());
   if (!TimeLeft)
     return tl::unexpected<HttpRefusal>(TimeLeft.error());
@@ -114,9 +115,9 @@
     return tl::unexpected<HttpRefusal>(Hops.error());
   Request.Hops = static_cast<int>(Hops->value_or(0));
 
-  const auto Mark = singleValue(Request.Head, header::Repeatable);
-  const auto Key = singleValue(Request.Head, header::IdempotencyKey);
-  const auto Account = singleValue(Request.Head, header::Account);
+  const auto Mark = singleValue(Request.Head, Speak.Repeatable);
+  const auto Key = singleValue(Request.Head, Speak.IdempotencyKey);
+  const auto Account = singleValue(Request.Head, Speak.Account);
   if (!Mark)
     return tl::unexpected<HttpRefusal>(Mark.error());
   if (!Key)
@@ -124,8 +125,8 @@
   if (!Account)
     return tl::unexpected<HttpRefusal>(Account.error());
   if (*Account && ((*Account)->empty() || (*Account)->size() > MaxAccountBytes))
-    return refuse(400, "header Siskinstage-Account is empty or longer than 200 "
-                       "bytes");
+    return refuse(400, "header " + Speak.Account +
+                           " is empty or longer than 200 bytes");
   Request.RepeatableMark = *Mark;
   Request.Key = *Key;
   Request.Account = AccountName(Account->value_or("anonymous"));
@@ -135,18 +136,21 @@
 } // namespace
 
 HttpResult<CallerRequest> readCallerRequest(const Poco::Net::HTTPRequest &Head,
-                                            RequestId Id, Instant Arrived) {
+                                            RequestId Id, Instant Arrived,
+                                            const Dialect &Speak) {
   CallerRequest Request;
   Request.Http10 = Head.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0;
   Request.Head = Head;
   Request.Id = std::move(Id);
+  if (Speak.CallerNamesRequest && Head.has(Speak.RequestId))
+    Request.Id = RequestId(Head.get(Speak.RequestId));
   Request.Arrived = Arrived;
   const auto Framing = requestFraming(framingFields(Request.Head));
   if (!Framing)
     return tl::unexpected<HttpRefusal>(Framing.error());
   Request.Framing = *Framing;
   for (const auto &Check : {readTarget, readExpect, readOwnHeaders}) {
-    const auto Checked = Check(Request);
+    const auto Checked = Check(Request, Speak);
     if (!Checked)
       return tl::unexpected<HttpRefusal>(Checked.error());
   }
--- a/src/node/caller_request.h
+++ b/src/node/caller_request.h
@@ -3,6 +3,7 @@
 
 #include "core/http_framing.h"
 #include "net/http_io.h"
+#include "node/dialect.h"
 #include "siskinstage/strong_id.h"
 #include "siskinstage/units.h"
 
@@ -31,7 +32,8 @@
 
 /// Checks \p Head and takes its parts apart; a fault names the header.
 HttpResult<CallerRequest> readCallerRequest(const Poco::Net::HTTPRequest &Head,
-                                            RequestId Id, Instant Arrived);
+                                            RequestId Id, Instant Arrived,
+                                            const Dialect &Speak = OwnDialect);
 
 } // namespace siskinstage
 
--- a/src/node/caller_server.cpp
+++ b/src/node/caller_server.cpp
@@ -36,12 +36,12 @@
       Context(Context) {}
 
 Result<std::unique_ptr<CallerServer>>
-CallerServer::start(NodeContext &Context) {
+CallerServer::start(NodeContext &Context, const Address &Where) {
   const Settings &Set = Context.Set;
   std::unique_ptr<CallerServer> New(new CallerServer(Context));
   try {
     Poco::Net::ServerSocket &Socket = New->Socket;
-    Socket.bind(Poco::Net::SocketAddress(Set.Listen.str()), true, false);
+    Socket.bind(Poco::Net::SocketAddress(Where.str()), true, false);
     Socket.listen(config::CallerListenBacklog);
     auto *Params = new Poco::Net::TCPServerParams;
     Params->setMaxThreads(Set.MaxConnections);
@@ -50,7 +50,7 @@
         new Factory(Context), New->Pool, Socket, Params);
     New->Server->start();
   } catch (const Poco::Exception &Fault) {
-    return fail(Step::Listen, Set.Listen.str(), Fault.displayText());
+    return fail(Step::Listen, Where.str(), Fault.displayText());
   }
   return New;
 }
--- a/src/node/caller_server.h
+++ b/src/node/caller_server.h
@@ -2,6 +2,7 @@
 #define SISKINSTAGE_NODE_CALLER_SERVER_H
 
 #include "siskinstage/error.h"
+#include "siskinstage/strong_id.h"
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/TCPServer.h>
@@ -15,7 +16,9 @@
 /// The callers' port: a thread of POCO's server pool for each connection.
 class CallerServer {
 public:
-  static Result<std::unique_ptr<CallerServer>> start(NodeContext &Context);
+  /// \param Where the address and port to listen on.
+  static Result<std::unique_ptr<CallerServer>> start(NodeContext &Context,
+                                                     const Address &Where);
 
   /// Takes no new connections; open ones go on, and so do those that were
   /// connected but not yet accepted.
--- a/src/node/config_update.h
+++ b/src/node/config_update.h
@@ -15,6 +15,7 @@
 struct RecordBatch {
   std::vector<Record> Records;
   bool PlatformComplete = false; ///< All that the platform held was read.
+  bool PlatformCurrent = false;  ///< And it could not be stale.
   /// Set if all revisions have been compared with a node of this domain.
   FailureDomain ComparedWith;
 };
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace siskinstage {
 
@@ -75,7 +76,10 @@
              {{"revision", std::to_string(New.Rev.Value)}});
     this->announce(New);
   }
+  for (const ServiceName &Name : std::exchange(this->Stale, {}))
+    this->refreshService(Name);
   this->PlatformRead = this->PlatformRead || Batch.PlatformComplete;
+  this->PlatformCurrent = this->PlatformCurrent || Batch.PlatformCurrent;
   if (!Batch.ComparedWith.empty())
     this->ComparedDomains.insert(Batch.ComparedWith);
 }
@@ -98,7 +102,7 @@
                      (this->ListRead && Compared >= Listed);
   // Peers that know the platform's revisions stand for it.
   const bool Platform = this->PlatformRead || !this->ComparedDomains.empty();
-  if (!Waited && (!Peers || !Platform))
+  if (!Waited && !this->PlatformCurrent && (!Peers || !Platform))
     return;
   this->Next.Configured = true;
   this->Changed = true;
@@ -109,8 +113,15 @@
 }
 
 void DecisionLoop::withdraw(const Record &Old) {
-  if (const auto *Route = std::get_if<RouteRecord>(&Old.Body))
+  if (const auto *Route = std::get_if<RouteRecord>(&Old.Body)) {
     this->Next.Routes.remove(*Route);
+  } else if (const auto *Target = std::get_if<TargetRecord>(&Old.Body)) {
+    this->Listed[Target->Service].erase(Target->Spec.Id);
+    this->Stale.insert(Target->Service);
+  } else if (const auto *Bundle = std::get_if<BundleRecord>(&Old.Body)) {
+    for (const RouteRecord &Route : Bundle->Routes)
+      this->Next.Routes.remove(Route);
+  }
 }
 
 void DecisionLoop::adopt(const Record &New) {
@@ -125,25 +136,66 @@
     this->Next.AccountRecords.set(Account->Name, *Account);
   } else if (const auto *Service = std::get_if<ServiceRecord>(&New.Body)) {
     this->adoptService(*Service);
+  } else if (const auto *Target = std::get_if<TargetRecord>(&New.Body)) {
+    this->adoptTarget(*Target);
+  } else if (const auto *Bundle = std::get_if<BundleRecord>(&New.Body)) {
+    this->adoptBundle(*Bundle);
   } else if (Deleted && New.Key.Kind == RecordKind::Account) {
     this->Next.AccountRecords.erase(AccountName(New.Key.Name));
   } else if (Deleted && New.Key.Kind == RecordKind::Service) {
-    this->Services.erase(ServiceName(New.Key.Name));
-    this->Next.ServiceViews.erase(ServiceName(New.Key.Name));
+    this->dropService(ServiceName(New.Key.Name));
   }
 }
 
+void DecisionLoop::dropService(const ServiceName &Name) {
+  this->Described.erase(Name);
+  this->Services.erase(Name);
+  this->Next.ServiceViews.erase(Name);
+}
+
+void DecisionLoop::adoptTarget(const TargetRecord &New) {
+  this->Listed[New.Service][New.Spec.Id] = New.Spec;
+  this->Stale.insert(New.Service);
+}
+
+void DecisionLoop::adoptBundle(const BundleRecord &New) {
+  for (const RouteRecord &Route : New.Routes)
+    this->Next.Routes.add(Route);
+  std::set<ServiceName> Kept;
+  for (const ServiceRecord &Service : New.Services) {
+    Kept.insert(Service.Name);
+    this->adoptService(Service);
+  }
+  std::vector<ServiceName> Gone;
+  for (const auto &[Name, Service] : this->Described)
+    if (Kept.count(Name) == 0 &&
+        this->records().find({RecordKind::Service, Name.str()}) == nullptr)
+      Gone.push_back(Name);
+  for (const ServiceName &Name : Gone)
+    this->dropService(Name);
+}
+
 void DecisionLoop::adoptService(const ServiceRecord &New) {
-  const ServiceName &Name = New.Name;
+  this->Described[New.Name] = New;
+  this->refreshService(New.Name);
+}
+
+void DecisionLoop::refreshService(const ServiceName &Name) {
+  const auto Base = this->Described.find(Name);
+  if (Base == this->Described.end())
+    return;
   Held &Is = this->Services
                  .try_emplace(Name, Held{this->Context.Set.Domain,
                                          this->Context.Set.How})
                  .first->second;
+  Is.Record = Base->second;
+  for (const auto &[Id, Spec] : this->Listed[Name])
+    Is.Record.Targets.push_back(Spec);
   if (!Is.Gate)
     Is.Gate =
         std::make_shared<ServiceGate>(Name, this->Context.Keys.process().Value);
-  Is.Gate->configure(New.Policy, this->Next.Fleet.RetryBudget);
-  Is.Health.configure(New);
+  Is.Gate->configure(Is.Record.Policy, this->Next.Fleet.RetryBudget);
+  Is.Health.configure(Is.Record, bootNow());
   Is.Health.setListedLeaving(this->ListedLeaving);
   Is.Group = this->groupOf(Name);
   Is.Verdicts.clear();
@@ -160,7 +212,7 @@
         Each.Now == Instance::State::Leaving)
       Leaving.insert(Each.Where);
     if (Each.Is != Instance::Role::Node || Each.Now != Instance::State::Live ||
-        Each.Where == this->Context.Set.Advertise)
+        Each.Where == this->Context.Set.FleetAddress)
       continue;
     Seeds.Seeds.push_back(Each.Where);
     this->ListedDomains.insert(Each.Domain);
@@ -207,17 +259,19 @@
       Record->Targets.size() * Record->SlotsPerTarget.Value;
   const std::size_t PerDomain =
       groupNodesPerDomain(Slots, countDomains(this->Next.Nodes));
+  const std::size_t Entries = this->Context.Set.EntriesPerDomain;
   std::vector<Address> Group;
   for (const SteeringNode &Node :
-       serviceGroup(this->Next.Nodes, Name, PerDomain))
-    if (Node.Where != this->Context.Set.Advertise)
+       Entries > 0 ? domainEntries(this->Next.Nodes, Entries)
+                   : serviceGroup(this->Next.Nodes, Name, PerDomain))
+    if (Node.Where != this->Context.Set.FleetAddress)
       Group.push_back(Node.Where);
   return Group;
 }
 
 const ServiceRecord *DecisionLoop::record(const ServiceName &Name) const {
-  const Record *Found = this->records().find({RecordKind::Service, Name.str()});
-  return Found == nullptr ? nullptr : std::get_if<ServiceRecord>(&Found->Body);
+  const auto Found = this->Services.find(Name);
+  return Found == this->Services.end() ? nullptr : &Found->second.Record;
 }
 
 void DecisionLoop::decideAll(Instant Now) {
@@ -233,7 +287,7 @@
     const bool Known =
         I < Service.Verdicts.size() && Service.Verdicts[I].Leaving;
     // The handlers' mark is taken back only after the verdict is published.
-    std::atomic<bool> &Said = this->gaugeOf(Spec.Where)->SaidLeaving;
+    std::atomic<bool> &Said = this->gaugeOf(Spec)->SaidLeaving;
     if (Known)
       Said.store(false);
     else if (Said.load())
@@ -288,8 +342,11 @@
     ++this->Context.GroupEjections;
 }
 
-std::shared_ptr<TargetGauge> DecisionLoop::gaugeOf(const Address &Where) {
-  std::shared_ptr<TargetGauge> &Gauge = this->Gauges[Where];
+std::shared_ptr<TargetGauge> DecisionLoop::gaugeOf(const TargetSpec &Spec) {
+  // An address may pass to another target, and an id to another process.
+  const std::string Key = Spec.Id.str() + "@" + Spec.Where.str() + "#" +
+                          std::to_string(Spec.Process.Value);
+  std::shared_ptr<TargetGauge> &Gauge = this->Gauges[Key];
   if (!Gauge)
     Gauge = std::make_shared<TargetGauge>();
   return Gauge;
@@ -305,7 +362,7 @@
   for (std::size_t I = 0; I < Service.Verdicts.size(); ++I) {
     const TargetSpec &Spec = View->Record.Targets[I];
     View->Targets.push_back(
-        {Spec, Service.Verdicts[I], this->gaugeOf(Spec.Where)});
+        {Spec, Service.Verdicts[I], this->gaugeOf(Spec)});
   }
   this->Next.ServiceViews.set(Name, std::move(View));
 }
--- a/src/node/decision_loop.h
+++ b/src/node/decision_loop.h
@@ -29,6 +29,7 @@
     Held(const FailureDomain &Own, Detector How) : Health(Own, How) {}
 
     ServiceHealth Health;
+    ServiceRecord Record; ///< With the targets that have their own records.
     std::vector<Address> Group; ///< The other nodes that serve it.
     std::vector<TargetVerdict> Verdicts;
     std::shared_ptr<ServiceGate> Gate;
@@ -39,12 +40,19 @@
   NodeContext &Context;
   Instant Started;
   std::unordered_map<ServiceName, Held> Services;
-  std::unordered_map<Address, std::shared_ptr<TargetGauge>> Gauges;
+  /// Services as their records or a bundle describe them.
+  std::unordered_map<ServiceName, ServiceRecord> Described;
+  /// Targets that have records of their own, by service.
+  std::map<ServiceName, std::map<TargetId, TargetSpec>> Listed;
+  std::unordered_map<std::string, std::shared_ptr<TargetGauge>> Gauges;
   std::set<Address> ListedLeaving;
   std::set<FailureDomain> ListedDomains; ///< Of other live nodes.
   std::set<FailureDomain> ComparedDomains;
   bool ListRead = false;
   bool PlatformRead = false;
+  bool PlatformCurrent = false; ///< What was read could not be stale.
+  /// Services whose listed targets have changed since the last refresh.
+  std::set<ServiceName> Stale;
   Snapshot Next;
   bool Changed = false;
 
@@ -56,6 +64,11 @@
   void apply(ReportArrival &Arrival);
   void adopt(const Record &New);
   void adoptService(const ServiceRecord &New);
+  void adoptTarget(const TargetRecord &New);
+  void adoptBundle(const BundleRecord &New);
+  void dropService(const ServiceName &Name);
+  /// Puts the description and the listed targets of a service together.
+  void refreshService(const ServiceName &Name);
   /// Takes out what the old version of a record put in.
   void withdraw(const Record &Old);
   void announce(const Record &New);
@@ -71,7 +84,7 @@
                   const std::vector<TargetVerdict> &Old,
                   const std::vector<TargetVerdict> &New);
   void rebuildService(const ServiceName &Name, const Held &Service);
-  std::shared_ptr<TargetGauge> gaugeOf(const Address &Where);
+  std::shared_ptr<TargetGauge> gaugeOf(const TargetSpec &Spec);
   [[nodiscard]] const ServiceRecord *record(const ServiceName &Name) const;
   void publish();
 };
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <thread>
+#include <utility>
 #include <xxhash.h>
 
 namespace siskinstage {
@@ -26,6 +27,16 @@
   std::this_thread::sleep_for(std::min(Wait, timeLeft(Deadline)));
 }
 
+/// A time to come back, spread so that those refused together do not return
+/// together.
+Duration spreadRetryAfter() {
+  thread_local Random Dice(
+      static_cast<std::uint64_t>(bootNow().time_since_epoch().count()));
+  const Duration Span = config::RetryAfterMost - config::RetryAfterLeast;
+  return config::RetryAfterLeast +
+         std::chrono::duration_cast<Duration>(Span * Dice.unit());
+}
+
 Error refusedBy(ServiceGate::Refusal Why, const std::string &Service) {
   switch (Why) {
   case ServiceGate::Refusal::NoTarget:
@@ -51,15 +62,25 @@
   this->Outgoing.erase("Content-Length");
   this->Outgoing.erase(header::Hops);
   this->Outgoing.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
-  this->Outgoing.add("Via", "1.1 siskinstage");
-  this->Outgoing.set(header::RequestId, this->Order.Request->Id.str());
+  const Dialect &Speak = this->Context.Set.Speak;
+  if (Speak.AddsVia)
+    this->Outgoing.add("Via", "1.1 siskinstage");
+  this->Outgoing.set(Speak.RequestId, this->Order.Request->Id.str());
 }
 
 DispatchEnd Dispatcher::refuse(int Status, Step Where, std::string Peer,
                                std::string Reason) {
   const Outcome What = this->MayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+  std::optional<Duration> RetryAfter;
+  if (this->Context.Set.Speak.StatusPromises) {
+    Status = What == Outcome::NotRun ? 503 : std::max(Status, 502);
+    if (What == Outcome::Unknown && Status == 503)
+      Status = 502;
+    if (What == Outcome::NotRun)
+      RetryAfter = spreadRetryAfter();
+  }
   return Refusal{
-      Status, What, {Where, std::move(Peer), std::move(Reason)}, std::nullopt};
+      Status, What, {Where, std::move(Peer), std::move(Reason)}, RetryAfter};
 }
 
 tl::expected<TargetLease, DispatchEnd> Dispatcher::enter() {
@@ -87,9 +108,10 @@
 
 Duration Dispatcher::overdueAfter() const {
   const ServiceView &Service = *this->Order.Service;
-  // Without a usual latency nothing can be called overdue.
+  // Without a usual latency only the route can tell what is overdue.
   if (Service.High == Duration::zero())
-    return Duration::zero();
+    return std::chrono::duration_cast<Duration>(
+        this->Order.Limits.Objective * config::OverdueObjectivePart);
   const double Factor =
       DetectionLimits::of(Service.Record.Detection).SlowFactor;
   const auto Usual = std::chrono::duration_cast<Duration>(
@@ -125,14 +147,15 @@
   ExchangeOrder Exchange = {this->Outgoing,
                             this->Order.Body,
                             this->Order.Request->Id,
+                            Target.Spec.Id,
+                            &this->Context.Set.Speak,
                             this->Order.Deadline,
                             this->Order.Service->Record.RequireEcho,
                             this->Order.Caller,
                             this->silentLimit(),
                             this->overdueAfter(),
                             [this, &Target, Started = bootNow()] {
-                              this->observe(Target, Evidence::Overdue,
-                                            bootNow() - Started);
+                              return this->giveUpOverdue(Target, Started);
                             }};
   auto Running =
       std::make_unique<TargetExchange>(std::move(*Taken), std::move(Exchange));
@@ -145,6 +168,24 @@
   return Running;
 }
 
+int Dispatcher::maxAttempts() const {
+  const auto Allowed = static_cast<int>(this->Order.Limits.MaxAttempts);
+  return Allowed == 0 ? config::MaxAttempts
+                      : std::min(Allowed, config::MaxAttempts);
+}
+
+bool Dispatcher::giveUpOverdue(const TargetView &Target, Instant Started) {
+  this->observe(Target, Evidence::Overdue, bootNow() - Started);
+  const bool Another =
+      this->Order.Kind == Repeatability::Repeatable &&
+      this->Order.Limits.Objective > Millis::zero() &&
+      this->Order.Body->replayable() && this->Attempts < this->maxAttempts() &&
+      this->Tried.size() < this->Order.Service->Targets.size() &&
+      timeLeft(this->Order.Deadline) > this->Order.Service->Typical;
+  this->RetryPaid = Another && this->Order.Service->Gate->takeRetry();
+  return this->RetryPaid;
+}
+
 void Dispatcher::observe(const TargetView &Target, Evidence What,
                          Duration Took) {
   this->Context.observe({this->Order.Service->Record.Name, Target.Spec.Id, What,
@@ -154,7 +195,7 @@
 void Dispatcher::noteAnswer(const TargetView &Target, TargetExchange &Exchange,
                             Duration Took) {
   if (Exchange.reportedInFlight())
-    Target.Gauge->Reported.store(*Exchange.reportedInFlight());
+    Target.Gauge->noteLoad(*Exchange.reportedInFlight(), bootNow());
   if (Exchange.saidLeaving()) {
     Target.Gauge->SaidLeaving.store(true);
     this->observe(Target, Evidence::Leaving, Took);
@@ -210,7 +251,7 @@
 bool Dispatcher::retry(const AttemptFailure &Failed) {
   RetryCircumstances Now;
   Now.Attempts = this->Attempts;
-  Now.MaxAttempts = config::MaxAttempts;
+  Now.MaxAttempts = this->maxAttempts();
   Now.BodyReplayable =
       this->Order.Body->replayable() ||
       (provedBy(Failed) == Outcome::NotRun && !Failed.BytesSent);
@@ -218,7 +259,8 @@
   Now.TargetLeft = this->Tried.size() < this->Order.Service->Targets.size();
   if (!mayRetry(Failed, this->Order.Kind, Now))
     return false;
-  if (!this->Order.Service->Gate->takeRetry())
+  if (!std::exchange(this->RetryPaid, false) &&
+      !this->Order.Service->Gate->takeRetry())
     return false;
   this->Context.Measured.retried();
   return true;
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -19,12 +19,20 @@
 
 struct NodeContext;
 
+/// What a route allows its requests; zero leaves it to the defaults.
+struct RouteLimits {
+  std::uint32_t MaxAttempts = 0;
+  Millis Timeout{};
+  Millis Objective{};
+};
+
 /// A request on its way to the targets of one service.
 struct DispatchOrder {
   const CallerRequest *Request = nullptr;
   RequestBody *Body = nullptr;
   std::shared_ptr<const ServiceView> Service;
   Repeatability Kind = Repeatability::AtMostOnce;
+  RouteLimits Limits;
   Instant Deadline;
   /// Watched, so that work whose caller has gone is cancelled; null for keyed
   /// requests, whose caller may come back for the answer.
@@ -59,6 +67,8 @@
   std::set<TargetId> Tried;
   int Attempts = 0;
   bool MayHaveRun = false;
+  /// A retry was taken from the budget when the try was given up.
+  bool RetryPaid = false;
   /// An answer of 500 or above, given if no retry brings a better one.
   std::optional<DispatchedAnswer> Spare;
 
@@ -72,6 +82,9 @@
   RequestPrint Print;
 
   [[nodiscard]] RequestPrint printOf() const;
+  [[nodiscard]] int maxAttempts() const;
+  /// Decides on a try that is overdue. \returns whether to give it up.
+  bool giveUpOverdue(const TargetView &Target, Instant Started);
   void noteCrash(const TargetView &Target);
   /// Notes evidence of a finished try.
   void noteAnswer(const TargetView &Target, TargetExchange &Exchange,
--- a/src/node/entries_answer.cpp
+++ b/src/node/entries_answer.cpp
@@ -90,7 +90,7 @@
                        const std::vector<SteeringNode> &Entries) {
   Json::Value Body(Json::objectValue);
   Json::Value &List = Body["entries"] = Json::Value(Json::arrayValue);
-  const Address &Own = Context.Set.Advertise;
+  const Address &Own = Context.Set.FleetAddress;
   if (!Context.Draining.load())
     List.append(entryOf(Own, Context.Set.Domain));
   for (const SteeringNode &Node : Entries)
@@ -126,7 +126,7 @@
   const auto Entries = entriesFor(*Question, *View, Now);
   const bool Steered = std::any_of(Entries.begin(), Entries.end(),
                                    [&](const SteeringNode &Node) {
-                                     return Node.Where == Context.Set.Advertise;
+                                     return Node.Where == Context.Set.FleetAddress;
                                    });
   if ((!Steered || Context.Draining.load()) && Request.Hops == 0)
     if (auto Answer = askSteered(Entries, Request))
--- a/src/node/gossip_loop.cpp
+++ b/src/node/gossip_loop.cpp
@@ -25,7 +25,7 @@
 
 Member selfOf(const NodeContext &Context) {
   Member Self;
-  Self.Where = Context.Set.Advertise;
+  Self.Where = Context.Set.FleetAddress;
   Self.Id = Context.Set.Id;
   Self.Domain = Context.Set.Domain;
   Self.Process = Context.Keys.process();
@@ -44,7 +44,7 @@
 Result<std::unique_ptr<GossipLoop>> GossipLoop::start(NodeContext &Context,
                                                       std::uint64_t Seed) {
   std::unique_ptr<GossipLoop> New(new GossipLoop(Context, Seed));
-  const std::string Where = Context.Set.Listen.str();
+  const std::string Where = Context.Set.FleetListen.str();
   try {
     New->Socket.bind(Poco::Net::SocketAddress(Where), true, false);
     New->Socket.setReceiveBufferSize(ReceiveBufferBytes);
@@ -106,8 +106,10 @@
     logError(LogLevel::Warn, "a gossip message is refused", Message.error());
     return;
   }
-  if (Message->From.Where != this->Members.self().Where)
-    this->take(*Message);
+  if (Message->From.Where == this->Members.self().Where)
+    return;
+  this->Context.LastGossip.store(bootNow().time_since_epoch().count());
+  this->take(*Message);
 }
 
 void GossipLoop::take(const GossipMessage &Message) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -25,11 +25,12 @@
 
 } // namespace
 
-Result<std::unique_ptr<Node>> Node::start(const Settings &Set) {
+Result<std::unique_ptr<Node>> Node::start(const Settings &Set,
+                                          const NodeAdapter &Adapter) {
   std::unique_ptr<Node> New(new Node);
-  const auto Own = parseAddress(Set.Advertise.str());
+  const auto Own = parseAddress(Set.FleetAddress.str());
   if (!Own)
-    return fail(Step::Settings, "advertise", "no IPv4 address and port");
+    return fail(Step::Settings, "fleet address", "no IPv4 address and port");
   const Incarnation Process{drawNumber()};
   New->Context = std::make_unique<NodeContext>(
       Set, *Own, Process, std::make_shared<const Snapshot>());
@@ -41,11 +42,23 @@
   if (!Gossip)
     return tl::unexpected<Error>(Gossip.error());
   New->Gossip = std::move(*Gossip);
-  auto Callers = CallerServer::start(*New->Context);
+  auto Callers = CallerServer::start(*New->Context, Set.Listen);
   if (!Callers)
     return tl::unexpected<Error>(Callers.error());
   New->Callers = std::move(*Callers);
-  New->startThreads(Process.Value);
+  if (Set.FleetListen != Set.Listen) {
+    auto Peers = CallerServer::start(*New->Context, Set.FleetListen);
+    if (!Peers)
+      return tl::unexpected<Error>(Peers.error());
+    New->Peers = std::move(*Peers);
+  }
+  if (Adapter.StartListeners) {
+    auto Listeners = Adapter.StartListeners(*New->Context);
+    if (!Listeners)
+      return tl::unexpected<Error>(Listeners.error());
+    New->Listeners = std::move(*Listeners);
+  }
+  New->startThreads(Process.Value, Adapter);
   logEvent(LogLevel::Info, "node " + Set.Id.str() + " has started",
            {{"listen", Set.Listen.str()},
             {"operators", Set.OperatorListen.str()},
@@ -53,16 +66,23 @@
   return New;
 }
 
-void Node::startThreads(std::uint64_t Seed) {
+void Node::startThreads(std::uint64_t Seed, const NodeAdapter &Adapter) {
   NodeContext &Shared = *this->Context;
   this->Threads.emplace_back([&Shared] { DecisionLoop(Shared).run(); });
   this->Threads.emplace_back([this] { this->Gossip->run(); });
   this->Threads.emplace_back([&Shared] { PeerSync(Shared).run(); });
-  this->Threads.emplace_back(
-      [&Shared, Seed] { PlatformClient(Shared, Seed).watchRecords(); });
-  this->Threads.emplace_back(
-      [&Shared, Seed] { PlatformClient(Shared, Seed).readInstances(); });
-  this->Threads.emplace_back([&Shared, Seed] { Prober(Shared, Seed).run(); });
+  if (Adapter.ReadConfiguration) {
+    this->Threads.emplace_back([&Shared, Read = Adapter.ReadConfiguration] {
+      Read(Shared);
+    });
+  } else {
+    this->Threads.emplace_back(
+        [&Shared, Seed] { PlatformClient(Shared, Seed).watchRecords(); });
+    this->Threads.emplace_back(
+        [&Shared, Seed] { PlatformClient(Shared, Seed).readInstances(); });
+  }
+  if (Shared.Set.ProbePeriod > Millis::zero())
+    this->Threads.emplace_back([&Shared, Seed] { Prober(Shared, Seed).run(); });
 }
 
 void Node::shutDown() {
@@ -71,9 +91,9 @@
   logEvent(LogLevel::Info, "the node is draining");
   // The members and callers that ask now hear of it; callers that come later
   // are refused a connection, which tells them that nothing was run.
-  Shared.Stop.sleep(config::ShutdownNotice);
+  const Instant Limit = bootNow() + Shared.Set.ShutdownLimit;
+  Shared.Stop.sleep(Shared.Set.AcceptLinger);
   this->Callers->stopAccepting();
-  const Instant Limit = bootNow() + config::ShutdownLimit;
   while (Shared.CallerConnections.load() > 0 && bootNow() < Limit)
     Shared.Stop.sleep(config::DecisionPeriod);
   while (Shared.RequestsInFlight.load() > 0 && bootNow() < Limit)
--- /dev/null
+++ b/src/node/node_adapter.h
@@ -0,0 +1,24 @@
+#ifndef SISKINSTAGE_NODE_NODE_ADAPTER_H
+#define SISKINSTAGE_NODE_NODE_ADAPTER_H
+
+#include "siskinstage/error.h"
+
+#include <functional>
+#include <memory>
+
+namespace siskinstage {
+
+struct NodeContext;
+
+/// What the adapter to a platform puts in place of the node's own parts.
+struct NodeAdapter {
+  /// Reads the configuration until the node stops; if empty, the node reads
+  /// the project's own configuration service.
+  std::function<void(NodeContext &)> ReadConfiguration;
+  /// Starts further listeners. \returns what keeps them open.
+  std::function<Result<std::shared_ptr<void>>(NodeContext &)> StartListeners;
+};
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NODE_NODE_ADAPTER_H
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -42,6 +42,8 @@
   std::atomic<std::shared_ptr<const MembersView>> Members;
   GossipTraffic Traffic;
   std::atomic<std::uint64_t> GroupEjections{0};
+  /// When the last datagram of another node came; ticks of the boot clock.
+  std::atomic<Duration::rep> LastGossip{0};
   StopFlag Stop;
   std::atomic<bool> Draining{false}; ///< SIGTERM came.
   std::atomic<std::uint32_t> CallerConnections{0};
--- a/src/node/owner_forward.cpp
+++ b/src/node/owner_forward.cpp
@@ -32,7 +32,7 @@
       accountEntries(this->Now.Nodes, AccountName(this->Request.Id.str()),
                      config::RelayPeersTried + 2);
   for (const SteeringNode &Node : Order)
-    if (Node.Where != Owner && Node.Where != this->Context.Set.Advertise &&
+    if (Node.Where != Owner && Node.Where != this->Context.Set.FleetAddress &&
         Relays.size() < config::RelayPeersTried)
       Relays.push_back(Node.Where);
   return Relays;
--- a/src/node/peer_api.cpp
+++ b/src/node/peer_api.cpp
@@ -70,8 +70,9 @@
 Json::Value recordValue(NodeContext &Context, const std::string &Kind,
                         const std::string &Name) {
   Json::Value List(Json::arrayValue);
-  for (const RecordKind Each : {RecordKind::Service, RecordKind::Route,
-                                RecordKind::Account, RecordKind::Fleet})
+  for (const RecordKind Each :
+       {RecordKind::Service, RecordKind::Route, RecordKind::Account,
+        RecordKind::Fleet, RecordKind::Target, RecordKind::Bundle})
     if (Kind == recordKindName(Each))
       if (const auto Text = Context.Records.text({Each, Name}))
         List.append(*Text);
--- a/src/node/platform_client.cpp
+++ b/src/node/platform_client.cpp
@@ -1,10 +1,10 @@
 #include "node/platform_client.h"
-#include "core/steering.h"
 #include "net/boot_time.h"
 #include "net/http_client.h"
 #include "net/json_text.h"
 #include "node/node_context.h"
 #include "node/record_intake.h"
+#include "node/watcher_role.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
@@ -15,21 +15,6 @@
 
 constexpr std::size_t MaxAnswerBytes = 4 * config::MaxRecordBytes;
 constexpr std::uint64_t InstanceSeed = 1;
-constexpr const char *WatcherKey = "platform watchers";
-
-/// Whether this node is one of its failure domain's few watchers.
-bool isWatcher(const NodeContext &Context) {
-  std::vector<SteeringNode> Own;
-  for (const Member &Each : Context.Members.load()->Live)
-    if (Each.Domain == Context.Set.Domain)
-      Own.push_back({Each.Id, Each.Where, Each.Domain});
-  const auto Chosen =
-      serviceGroup(Own, ServiceName(WatcherKey), config::WatchersPerDomain);
-  return std::any_of(Chosen.begin(), Chosen.end(),
-                     [&](const SteeringNode &Node) {
-                       return Node.Where == Context.Set.Advertise;
-                     });
-}
 
 } // namespace
 
@@ -76,7 +61,7 @@
   // A new node first looks for peers, which spare the platform its reading.
   this->Context.Stop.sleep(config::GossipPeriod);
   while (!this->Context.Stop.stopped()) {
-    if (!isWatcher(this->Context)) {
+    if (!watchesPlatform(this->Context)) {
       this->Context.Stop.sleep(config::GossipPeriod);
       continue;
     }
@@ -128,7 +113,7 @@
 
 Duration PlatformClient::instancePeriod(Random &Dice) const {
   const std::size_t Live = this->Context.Members.load()->Live.size();
-  if (Live <= 1 || isWatcher(this->Context))
+  if (Live <= 1 || watchesPlatform(this->Context))
     return config::InstanceListPeriod;
   const Duration Period = std::max<Duration>(
       config::InstanceListRest,
--- a/src/node/prober.cpp
+++ b/src/node/prober.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-constexpr const char *HealthPath = "/healthz";
 constexpr std::size_t MaxHealthBytes = 16 * 1024;
 
 using Probed =
@@ -39,7 +38,7 @@
     const auto Targets = allTargets(*this->Context.Snapshots.get());
     // The probes of one round are spread over the period.
     const Duration Gap =
-        Duration(config::ProbePeriod) /
+        Duration(this->Context.Set.ProbePeriod) /
         static_cast<std::int64_t>(std::max<std::size_t>(Targets.size(), 1));
     for (const auto &[Service, Target] : Targets) {
       const auto Jittered =
@@ -56,7 +55,7 @@
 void Prober::probe(const ServiceView &Service, const TargetView &Target) {
   const Instant Started = bootNow();
   Target.Gauge->Pool.expire(Started);
-  const auto Answer = getOnce(Target.Spec.Where, HealthPath, MaxHealthBytes,
+  const auto Answer = getOnce(Target.Spec.Where, Service.Record.HealthPath, MaxHealthBytes,
                               Started + config::ProbeTimeout);
   Observation Seen = {Service.Record.Name, Target.Spec.Id, Evidence::Success,
                       bootNow() - Started, bootNow(),      true};
--- a/src/node/request_flow.cpp
+++ b/src/node/request_flow.cpp
@@ -1,4 +1,5 @@
 #include "node/request_flow.h"
+#include "core/pick_backend.h"
 #include "core/request_key.h"
 #include "net/boot_time.h"
 #include "node/entries_answer.h"
@@ -40,7 +41,7 @@
                          const CallerRequest &Request)
     : Context(Context), Caller(Caller), Request(Request),
       Body(Caller, Request.Framing, Request.ExpectContinue),
-      Reply(Caller, Request), Now(Context.Snapshots.get()) {
+      Reply(Caller, Request, Context.Set.Speak), Now(Context.Snapshots.get()) {
   if (Context.Draining.load())
     this->Reply.closeAfter();
 }
@@ -83,6 +84,14 @@
                  readFaultText(Fault));
 }
 
+const ServiceName &RequestFlow::backendOf(const RouteRecord &Route) const {
+  if (Route.Backends.empty())
+    return Route.Service;
+  thread_local Random Dice(
+      static_cast<std::uint64_t>(bootNow().time_since_epoch().count()));
+  return Route.Backends[pickBackend(Route.Backends, Dice)].Service;
+}
+
 bool RequestFlow::route() {
   const RouteRecord *Route = this->Now->Routes.find(
       this->Request.Host, this->Request.Path, this->Request.Head.getMethod());
@@ -91,14 +100,16 @@
                  "no route matches host, path and method");
     return false;
   }
-  this->Service = this->Now->service(Route->Service);
+  const ServiceName &Chosen = this->backendOf(*Route);
+  this->Service = this->Now->service(Chosen);
   if (!this->Service) {
-    this->refuse(503, Outcome::NotRun, Step::Route, Route->Service.str(),
+    this->refuse(503, Outcome::NotRun, Step::Route, Chosen.str(),
                  "route " + Route->Name.str() +
                      " names a service that is not configured");
     return false;
   }
   this->RouteRepeatable = Route->Repeatable;
+  this->Limits = {Route->MaxAttempts, Route->Timeout, Route->Objective};
   return true;
 }
 
@@ -340,7 +351,11 @@
       std::min(this->Request.TimeLeft.value_or(this->Service->Record.Deadline),
                config::MaxDeadline);
   this->Deadline = this->Request.Arrived + Limit;
+  if (this->Limits.Timeout > Millis::zero())
+    this->Deadline = std::min(this->Deadline,
+                              this->Request.Arrived + this->Limits.Timeout);
   DispatchOrder Order;
+  Order.Limits = this->Limits;
   Order.Request = &this->Request;
   Order.Body = &this->Body;
   Order.Service = this->Service;
--- a/src/node/request_flow.h
+++ b/src/node/request_flow.h
@@ -32,9 +32,11 @@
   std::shared_ptr<const ServiceView> Service;
   std::optional<bool> RouteRepeatable;
   Repeatability Kind = Repeatability::AtMostOnce;
+  RouteLimits Limits;
   Instant Deadline;
 
   void answer();
+  [[nodiscard]] const ServiceName &backendOf(const RouteRecord &Route) const;
   /// Finds route and service. \returns false if it has refused.
   bool route();
   /// Gives an answer that the node made itself.
--- a/src/node/service_gate.cpp
+++ b/src/node/service_gate.cpp
@@ -11,10 +11,15 @@
 
 namespace {
 
+std::uint32_t slotsOf(const ServiceView &View, const TargetView &Target) {
+  const std::uint32_t Own = Target.Spec.Capacity.Value;
+  return Own > 0 ? Own : View.Record.SlotsPerTarget.Value;
+}
+
 /// Slots of a target that this node may use now.
 std::uint32_t usableSlots(const ServiceView &View, const TargetView &Target) {
   const double Usable =
-      std::ceil(View.Record.SlotsPerTarget.Value * Target.Verdict.Share);
+      std::ceil(slotsOf(View, Target) * Target.Verdict.Share);
   return static_cast<std::uint32_t>(std::max(1.0, Usable));
 }
 
@@ -68,6 +73,7 @@
 tl::expected<TargetLease, ServiceGate::Refusal>
 ServiceGate::tryEnter(const ServiceView &View, const FailureDomain &Own,
                       const std::set<TargetId> &Tried, bool &Full) {
+  const Instant Now = bootNow();
   std::vector<Candidate> Candidates;
   Full = false;
   for (std::uint32_t I = 0; I < View.Targets.size(); ++I) {
@@ -84,7 +90,8 @@
       Full = true;
       continue;
     }
-    Candidates.push_back({I, InFlight, Each.Gauge->Reported.load(),
+    Candidates.push_back({I, InFlight, Each.Gauge->load(Now),
+                          slotsOf(View, Each),
                           !Own.empty() && Each.Spec.Domain == Own});
   }
   const auto Chosen = pick(this->How, Candidates, this->Dice);
@@ -100,7 +107,7 @@
   // Those who wait are served in turns of one usual latency by all slots.
   std::uint64_t Slots = 0;
   for (const TargetView &Each : View.Targets)
-    Slots += Each.Verdict.Admitted ? View.Record.SlotsPerTarget.Value : 0;
+    Slots += Each.Verdict.Admitted ? slotsOf(View, Each) : 0;
   if (Slots == 0)
     return true;
   const Duration Wait = View.Typical *
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -15,6 +15,9 @@
 ABSL_FLAG(std::string, advertise, "",
           "Address at which callers and other nodes reach this node; the "
           "callers' port if empty.");
+ABSL_FLAG(std::string, fleet_listen, "",
+          "Address and port for other nodes, over TCP and UDP; the callers' "
+          "port and the advertised address if empty.");
 ABSL_FLAG(std::string, operator_listen, "127.0.0.1:9080",
           "Operators' port, as address:port.");
 ABSL_FLAG(std::string, platform, "",
@@ -35,6 +38,17 @@
 ABSL_FLAG(std::string, ready_wait_ms, "10000",
           "Longest wait for a comparison of revisions with the platform and "
           "with nodes of two failure domains, 0 to 600000.");
+ABSL_FLAG(std::string, entries_per_domain, "0",
+          "Nodes of each failure domain that callers are steered to, 0 to 64; "
+          "0 steers by service groups.");
+ABSL_FLAG(std::string, probe_period_ms, "5000",
+          "Time between two probes of one target by one node, 0 to 600000; 0 "
+          "for no probes.");
+ABSL_FLAG(std::string, accept_linger_ms, "500",
+          "How long new connections are still taken after SIGTERM, 0 to "
+          "60000.");
+ABSL_FLAG(std::string, shutdown_limit_ms, "60000",
+          "Longest time from SIGTERM to the end, 0 to 600000.");
 ABSL_FLAG(std::string, detector, "group",
           "What counts against a target: group, own or probes; the last two "
           "are for experiments.");
@@ -55,7 +69,12 @@
     "  siskinstaged --listen=10.0.0.4:8080 --platform=10.0.9.1:7000 "
     "--domain=zaandam --fleet_keys_file=/run/siskinstage/keys";
 
-const std::vector<std::string> Names = {"seeds",
+const std::vector<std::string> Names = {"fleet_listen",
+                                        "entries_per_domain",
+                                        "probe_period_ms",
+                                        "accept_linger_ms",
+                                        "shutdown_limit_ms",
+                                        "seeds",
                                         "detector",
                                         "listen",
                                         "advertise",
@@ -140,9 +159,12 @@
 
 } // namespace
 
-Settings readSettings(int Argc, char **Argv, std::vector<Error> &Faults) {
+Settings readSettings(int Argc, char **Argv, std::vector<Error> &Faults,
+                      const std::vector<std::string> &More) {
   absl::SetProgramUsageMessage(UsageText);
-  for (const std::string &Word : readFlags(Argc, Argv, Names, Faults))
+  std::vector<std::string> All = Names;
+  All.insert(All.end(), More.begin(), More.end());
+  for (const std::string &Word : readFlags(Argc, Argv, All, Faults))
     Faults.push_back({Step::Settings, Word, "this argument is no flag"});
 
   Settings Read;
@@ -151,6 +173,10 @@
   Read.Advertise = Advertise.empty()
                        ? Read.Listen
                        : readAddress("advertise", Advertise, Faults);
+  const std::string Fleet = absl::GetFlag(FLAGS_fleet_listen);
+  Read.FleetListen = Fleet.empty() ? Read.Listen
+                                   : readAddress("fleet_listen", Fleet, Faults);
+  Read.FleetAddress = Fleet.empty() ? Read.Advertise : Read.FleetListen;
   Read.OperatorListen = readAddress(
       "operator_listen", absl::GetFlag(FLAGS_operator_listen), Faults);
   Read.Platform =
@@ -170,6 +196,18 @@
                  20'000, Faults);
   Read.ReadyWait = Millis(readNumber(
       "ready_wait_ms", absl::GetFlag(FLAGS_ready_wait_ms), 0, 600'000, Faults));
+  Read.EntriesPerDomain = static_cast<std::size_t>(
+      readNumber("entries_per_domain", absl::GetFlag(FLAGS_entries_per_domain),
+                 0, 64, Faults));
+  Read.ProbePeriod = Millis(
+      readNumber("probe_period_ms", absl::GetFlag(FLAGS_probe_period_ms), 0,
+                 600'000, Faults));
+  Read.AcceptLinger = Millis(
+      readNumber("accept_linger_ms", absl::GetFlag(FLAGS_accept_linger_ms), 0,
+                 60'000, Faults));
+  Read.ShutdownLimit = Millis(
+      readNumber("shutdown_limit_ms", absl::GetFlag(FLAGS_shutdown_limit_ms),
+                 0, 600'000, Faults));
   Read.How = readChoice<Detector>("detector", absl::GetFlag(FLAGS_detector),
                                   {{"group", Detector::Group},
                                    {"own", Detector::OwnOnly},
--- a/src/node/shared_records.h
+++ b/src/node/shared_records.h
@@ -25,6 +25,9 @@
   text(const RecordKey &Key) const;
   /// The revision in force, zero if the record is not known.
   [[nodiscard]] Revision revision(const RecordKey &Key) const;
+  /// Names and revisions of the records of one kind that are not deleted.
+  [[nodiscard]] std::vector<std::pair<std::string, Revision>>
+  namesOf(RecordKind Kind) const;
   /// For the decision thread alone, which needs no lock to read.
   [[nodiscard]] const RecordStore &unlocked() const { return this->Store; }
 
--- a/src/node/state_dump.cpp
+++ b/src/node/state_dump.cpp
@@ -1,4 +1,5 @@
 #include "node/state_dump.h"
+#include "net/boot_time.h"
 #include "node/node_context.h"
 #include "node/service_gate.h"
 #include "node/snapshot.h"
@@ -24,7 +25,7 @@
   Dump["reason"] = Target.Verdict.Reason;
   Dump["ejections"] = Target.Verdict.Ejections;
   Dump["in_flight"] = Target.Gauge->InFlight.load();
-  Dump["reported_in_flight"] = Target.Gauge->Reported.load();
+  Dump["reported_in_flight"] = Target.Gauge->load(bootNow());
   Dump["requests"] = static_cast<Json::UInt64>(Target.Gauge->Requests.load());
   Dump["connections_opened"] = static_cast<Json::UInt64>(Pool.Opened);
   Dump["connections_reused"] = static_cast<Json::UInt64>(Pool.Reused);
--- a/src/node/target_exchange.cpp
+++ b/src/node/target_exchange.cpp
@@ -1,9 +1,9 @@
 #include "node/target_exchange.h"
 #include "net/boot_time.h"
-#include "node/header_names.h"
 #include "siskinstage/config.h"
 
 #include <Poco/NumberParser.h>
+#include <Poco/StringTokenizer.h>
 #include <algorithm>
 
 namespace siskinstage {
@@ -12,10 +12,23 @@
 
 using Kind = AttemptFailure::Kind;
 
-/// Headers of a target's answer that are not passed on.
-constexpr const char *OwnHeaders[] = {header::Outcome, header::RequestId,
-                                      header::Leaving, header::InFlight,
-                                      "Content-Length"};
+/// Whether \p Status promises that the request was not run.
+bool promisesNotRun(int Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
+/// Requests running and waiting, from "running,waiting,slots".
+std::optional<unsigned> loadOf(const std::string &Text) {
+  const Poco::StringTokenizer Parts(Text, ",",
+                                    Poco::StringTokenizer::TOK_TRIM);
+  unsigned Running = 0;
+  unsigned Waiting = 0;
+  if (Parts.count() != 3 ||
+      !Poco::NumberParser::tryParseUnsigned(Parts[0], Running) ||
+      !Poco::NumberParser::tryParseUnsigned(Parts[1], Waiting))
+    return std::nullopt;
+  return Running + Waiting;
+}
 
 bool wantsClose(const Poco::Net::HTTPResponse &Head) {
   return !Head.getKeepAlive();
@@ -66,7 +79,10 @@
   // long after the deadline.
   const auto Left =
       std::chrono::duration_cast<Millis>(timeLeft(this->Order.Deadline));
-  Request.set(header::Deadline, std::to_string(Left.count()));
+  const Dialect &Speak = *this->Order.Speak;
+  Request.set(Speak.Deadline, std::to_string(Left.count()));
+  if (!Speak.ExpectTarget.empty() && !this->Order.Target.empty())
+    Request.set(Speak.ExpectTarget, this->Order.Target.str());
   std::string Text = headText(Request);
   if (Length)
     Text += Held;
@@ -134,6 +150,20 @@
       return tl::unexpected<ExchangeFailure>(Failed);
     }
     auto Taking = this->takeHead(*Lines);
+    if (Taking && this->isForeign() && this->Taken.Reused) {
+      // The end of an earlier request's answers: ours comes behind it.
+      const auto Skipped = this->skipForeign(Limit);
+      if (!Skipped)
+        return Skipped;
+      continue;
+    }
+    if (Taking && this->Head.getStatus() >= 200) {
+      const std::string Fault = this->headFault();
+      if (!Fault.empty())
+        return tl::unexpected<ExchangeFailure>(
+            this->failure(Kind::BadAnswer, HttpRefusal{502, Fault}));
+      this->readTargetHeaders();
+    }
     // Interim answers, as "103 Early Hints", come before the one that counts.
     if (!Taking || this->Head.getStatus() >= 200)
       return Taking;
@@ -142,7 +172,7 @@
 
 bool TargetExchange::isStale(const ExchangeFailure &Failed,
                              bool MaySilence) const {
-  if (!this->Taken.Reused || Failed.CallerGone ||
+  if (!this->Taken.Reused || Failed.CallerGone || this->GivenUp ||
       Failed.Attempt.What != Kind::NoAnswer)
     return false;
   if (!Failed.TimedOut)
@@ -164,8 +194,10 @@
   const auto *Fault = std::get_if<WireFault>(&Lines.error());
   if (Fault == nullptr || Fault->What != WireFault::Kind::Timeout)
     return Lines;
-  this->Order.OnOverdue();
-  return Read(Limit);
+  if (!this->Order.OnOverdue())
+    return Read(Limit);
+  this->GivenUp = true;
+  return Lines;
 }
 
 ExchangeResult<void> TargetExchange::takeHead(const std::string &Lines) {
@@ -183,33 +215,67 @@
   this->Framing = *Decided;
   this->Reader.emplace(this->Framing);
 
-  const std::string Echo = this->Head.get(header::RequestId, "");
-  const bool Missing =
-      Echo.empty() && this->Order.RequireEcho && this->Head.getStatus() >= 200;
-  const bool Foreign =
-      this->CheckEcho && !Echo.empty() && Echo != this->Order.Id.str();
-  if (Missing || Foreign)
-    return tl::unexpected<ExchangeFailure>(this->failure(
-        Kind::BadAnswer,
-        HttpRefusal{502, "the answer carries the id of another request or "
-                         "none"}));
-  this->readTargetHeaders();
   return {};
 }
 
+bool TargetExchange::isForeign() const {
+  const std::string Echo = this->Head.get(this->Order.Speak->RequestId, "");
+  return this->CheckEcho && !Echo.empty() && Echo != this->Order.Id.str();
+}
+
+ExchangeResult<void> TargetExchange::skipForeign(Instant Limit) {
+  std::string Dropped;
+  while (!this->Reader->done()) {
+    Dropped.clear();
+    const auto Read = this->Reader->read(this->Taken.Connection, Dropped, Limit,
+                                         this->Order.Caller);
+    if (!Read)
+      return tl::unexpected<ExchangeFailure>(
+          this->failure(Kind::NoAnswer, Read.error()));
+  }
+  return {};
+}
+
+std::string TargetExchange::headFault() const {
+  const Dialect &Speak = *this->Order.Speak;
+  const int Status = this->Head.getStatus();
+  const bool Success = Status >= 200 && Status < 300;
+  const bool Marked =
+      !Speak.NotRunMark.empty() && this->Head.has(Speak.NotRunMark);
+  if (Marked)
+    return "";
+  const bool Echoed = this->Head.has(Speak.RequestId);
+  if (this->isForeign() || (!Echoed && this->Order.RequireEcho))
+    return "the answer carries the id of another request or none";
+  if (Success && !Speak.Seal.empty() && !this->Head.has(Speak.Seal))
+    return "the answer does not carry the target's seal";
+  if (Speak.PlainBodies && this->Head.has("Content-Encoding"))
+    return "the answer's body is encoded, which nobody asked for";
+  if (Speak.StatusPromises && promisesNotRun(Status) && Status != 421)
+    return "status " + std::to_string(Status) + " without a mark of not run";
+  return "";
+}
+
 void TargetExchange::readTargetHeaders() {
-  this->OutcomeText = this->Head.get(header::Outcome, "");
+  const Dialect &Speak = *this->Order.Speak;
+  if (!Speak.Outcome.empty())
+    this->OutcomeText = this->Head.get(Speak.Outcome, "");
   this->NotRun = this->OutcomeText == "not-run";
-  this->Leaving = this->Head.get(header::Leaving, "") == "yes";
-  unsigned InFlightNow = 0;
-  if (Poco::NumberParser::tryParseUnsigned(this->Head.get(header::InFlight, ""),
-                                           InFlightNow))
-    this->InFlight = InFlightNow;
+  if (!Speak.NotRunMark.empty())
+    this->NotRun = this->Head.has(Speak.NotRunMark) ||
+                   (Speak.StatusPromises && this->Head.getStatus() == 421);
+  if (!Speak.Leaving.empty())
+    this->Leaving = this->Head.get(Speak.Leaving, "") == "yes";
+  this->readLoad();
   this->Reusable = !wantsClose(this->Head) && !this->Leaving;
   const std::string Length = this->Head.get("Content-Length", "");
   dropHopHeaders(this->Head);
-  for (const char *Name : OwnHeaders)
-    this->Head.erase(Name);
+  this->Head.erase("Content-Length");
+  for (const std::string *Name :
+       {&Speak.Outcome, &Speak.RequestId, &Speak.Leaving, &Speak.InFlight,
+        &Speak.Load, &Speak.NotRunMark})
+    if (!Name->empty())
+      this->Head.erase(*Name);
   // Without a body of its own, the answer keeps the length it speaks of.
   const bool KeepLength = this->Order.Head.getMethod() == "HEAD";
   this->Answer.Headers.assign(this->Head.begin(), this->Head.end());
@@ -219,6 +285,16 @@
   this->Answer.Reason = this->Head.getReason();
 }
 
+void TargetExchange::readLoad() {
+  const Dialect &Speak = *this->Order.Speak;
+  unsigned Running = 0;
+  if (!Speak.Load.empty())
+    this->InFlight = loadOf(this->Head.get(Speak.Load, ""));
+  else if (Poco::NumberParser::tryParseUnsigned(
+               this->Head.get(Speak.InFlight, ""), Running))
+    this->InFlight = Running;
+}
+
 ExchangeResult<void> TargetExchange::holdBody(std::size_t MaxBytes) {
   while (!this->Reader->done() && this->Answer.Body.size() < MaxBytes) {
     const auto Read =
@@ -249,7 +325,8 @@
 
 void TargetExchange::restoreOwnHeaders() {
   if (!this->OutcomeText.empty())
-    this->Answer.Headers.emplace_back(header::Outcome, this->OutcomeText);
+    this->Answer.Headers.emplace_back(this->Order.Speak->Outcome,
+                                      this->OutcomeText);
 }
 
 void TargetExchange::finish(ConnectionPool &Pool) {
--- a/src/node/target_exchange.h
+++ b/src/node/target_exchange.h
@@ -4,6 +4,7 @@
 #include "core/attempt.h"
 #include "core/stored_answer.h"
 #include "node/connection_pool.h"
+#include "node/dialect.h"
 #include "node/request_body.h"
 
 #include <Poco/Net/HTTPRequest.h>
@@ -19,6 +20,8 @@
   Poco::Net::HTTPRequest Head; ///< Without framing headers.
   RequestBody *Body = nullptr;
   RequestId Id;
+  TargetId Target; ///< Who is expected to answer; empty for anyone.
+  const Dialect *Speak = &OwnDialect;
   Instant Deadline;
   bool RequireEcho = false;
   /// Watched while waiting, so that the work can be cancelled; null if the
@@ -28,7 +31,8 @@
   Duration SilentLimit{};
   /// Called once if no answer has begun after this time; zero for never.
   Duration OverdueAfter{};
-  std::function<void()> OnOverdue;
+  /// \returns whether the try is to be given up.
+  std::function<bool()> OnOverdue;
 };
 
 /// How one try failed.
@@ -86,6 +90,7 @@
   bool Leaving = false;
   bool Reusable = false;
   bool Finished = false;
+  bool GivenUp = false; ///< OnOverdue has ended the try.
   bool CheckEcho = true;
   std::string OutcomeText; ///< Value of Siskinstage-Outcome, if any.
   std::optional<std::uint32_t> InFlight;
@@ -96,7 +101,14 @@
   /// Reads the head's lines; says so when it is overdue, and waits on.
   ReadResult<std::string> awaitHead(Instant Limit);
   ExchangeResult<void> takeHead(const std::string &Lines);
+  /// Whether the answer's head names another request.
+  [[nodiscard]] bool isForeign() const;
+  /// Reads an answer to an earlier request to its end and drops it.
+  ExchangeResult<void> skipForeign(Instant Limit);
+  /// What is wrong with the answer as a whole; empty for nothing.
+  [[nodiscard]] std::string headFault() const;
   void readTargetHeaders();
+  void readLoad();
   ExchangeFailure failure(AttemptFailure::Kind What, const ReadFault &Fault);
   /// Whether a connection used before is to blame, not the target.
   [[nodiscard]] bool isStale(const ExchangeFailure &Failed,
--- a/src/node/target_gauge.h
+++ b/src/node/target_gauge.h
@@ -2,6 +2,7 @@
 #define SISKINSTAGE_NODE_TARGET_GAUGE_H
 
 #include "node/connection_pool.h"
+#include "siskinstage/config.h"
 
 #include <atomic>
 #include <cstdint>
@@ -11,12 +12,25 @@
 /// What handlers share about one target; it outlives snapshots.
 struct TargetGauge {
   std::atomic<std::uint32_t> InFlight{0};
-  /// Requests that the target reported in its last answer.
-  std::atomic<std::uint32_t> Reported{0};
   std::atomic<std::uint64_t> Requests{0};
   /// Set by a handler that was told so, before the decision thread knows.
   std::atomic<bool> SaidLeaving{false};
   ConnectionPool Pool;
+
+  /// Notes the requests that the target stated in an answer.
+  void noteLoad(std::uint32_t Requests, Instant Now) {
+    this->Reported.store(Requests);
+    this->ReportedAt.store(Now.time_since_epoch().count());
+  }
+  /// What the target last stated, zero once it is too old.
+  [[nodiscard]] std::uint32_t load(Instant Now) const {
+    const Instant At{Duration(this->ReportedAt.load())};
+    return Now - At < config::ReportedLoadAge ? this->Reported.load() : 0;
+  }
+
+private:
+  std::atomic<std::uint32_t> Reported{0};
+  std::atomic<Duration::rep> ReportedAt{0};
 };
 
 } // namespace siskinstage
