--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -40,10 +40,9 @@
 /// A pooled connection that answered within this time counts as proved alive.
 inline constexpr std::chrono::milliseconds ProvedAliveWindow = 50ms;
 inline constexpr std::chrono::milliseconds BodyStallTimeout = 5s;
-/// A reused connection that gives no byte for this long, or for the factor
-/// times the service's usual latency, counts as silent.
+/// While a service's usual latency is not known, a request without an answer
+/// is overdue after this time.
 inline constexpr std::chrono::milliseconds SilentMinimum = 500ms;
-inline constexpr double SilentLatencyFactor = 10.0;
 
 // Retries.
 inline constexpr int MaxAttempts = 4;
@@ -101,6 +100,10 @@
 /// A work is slow from this many times the service's high latency on.
 inline constexpr double SlowFactorFast = 3.0;
 inline constexpr double SlowFactorCareful = 5.0;
+/// A request is overdue, and another try may be made, from this many times the
+/// service's high latency on: about its ninety-eighth percentile.
+inline constexpr double OverdueFactorFast = 1.5;
+inline constexpr double OverdueFactorCareful = 1.8;
 inline constexpr std::chrono::milliseconds SlowMinimum = 50ms;
 /// A request that waits for so long counts as a failure before its end.
 inline constexpr std::chrono::milliseconds OverdueMinimum = 300ms;
@@ -109,6 +112,19 @@
 /// A target stays marked as leaving for this long after its last such sign.
 inline constexpr std::chrono::milliseconds LeavingMemory = 10s;
 inline constexpr std::chrono::milliseconds FirstEjection = 2s;
+/// After a failure, other targets are preferred for so long: the usual length
+/// of a gray spell.
+inline constexpr std::chrono::milliseconds DoubtLength = 2500ms;
+/// Handicap of a doubted target, in loads of all its slots: more than any
+/// target that is not doubted can have.
+inline constexpr double DoubtHandicap = 2.0;
+/// Handicap at the end of the doubt for work that must not run twice: others
+/// try the target first.
+inline constexpr double TrialHandicap = 0.5;
+/// Successes of a service whose latencies are kept together.
+inline constexpr std::size_t PooledLatencies = 64;
+/// The quantile that counts as a high latency.
+inline constexpr double HighPercentile = 0.9;
 inline constexpr std::chrono::milliseconds MaxEjection = 60s;
 inline constexpr std::chrono::milliseconds ProbationRamp = 5s;
 /// A failure newer than this still counts towards an ejection.
--- a/src/core/record_parser.cpp
+++ b/src/core/record_parser.cpp
@@ -125,8 +125,9 @@
 
 ServiceRecord readService(FieldReader &Fields, RecordReading &Reading,
                           const std::string &Name) {
+  std::vector<TargetSpec> Targets = readTargets(Fields, Reading);
   ServiceRecord Service = readServiceFields(Fields, Name);
-  Service.Targets = readTargets(Fields, Reading);
+  Service.Targets = std::move(Targets);
   return Service;
 }
 
--- a/src/core/service_health.cpp
+++ b/src/core/service_health.cpp
@@ -57,6 +57,21 @@
     return;
   }
   Found->second.Health.observe(Seen, Limits, this->Usual);
+  if (Seen.What != Evidence::Success || Seen.FromProbe)
+    return;
+  this->Pooled.push_back(Seen.Latency);
+  if (this->Pooled.size() > config::PooledLatencies)
+    this->Pooled.pop_front();
+}
+
+UsualLatency ServiceHealth::pooledUsual() const {
+  if (this->Pooled.size() < config::MinWindowSamples)
+    return {};
+  std::vector<Duration> Sorted(this->Pooled.begin(), this->Pooled.end());
+  std::sort(Sorted.begin(), Sorted.end());
+  const auto High = static_cast<std::size_t>(
+      static_cast<double>(Sorted.size()) * config::HighPercentile);
+  return {Sorted[Sorted.size() / 2], Sorted[High]};
 }
 
 void ServiceHealth::observeProbe(TargetHealth &Health, Observation Seen,
@@ -90,8 +105,15 @@
     if (Each.Health.highLatency() > Duration::zero())
       Highs.push_back(Each.Health.highLatency());
   }
-  const Duration Median = medianOf(std::move(Medians));
-  const Duration High = medianOf(std::move(Highs));
+  Duration Median = medianOf(std::move(Medians));
+  Duration High = medianOf(std::move(Highs));
+  // Few requests for each target: what all of them took must do.
+  if (High == Duration::zero()) {
+    const UsualLatency All = this->pooledUsual();
+    High = All.High;
+    if (Median == Duration::zero())
+      Median = All.Median;
+  }
   // What is no longer known stays as it was.
   if (Median > Duration::zero())
     this->Usual.Median = Median;
@@ -119,9 +141,11 @@
     const TargetId &Id = this->Record.Targets[I].Id;
     const TargetHealth &Health = this->Targets[Id].Health;
     const bool Kept = Admitted[I] && Wishes[I].Eject;
+    const std::uint32_t Doubt = Health.doubt(Now);
     Verdicts.push_back({Id, Admitted[I], Wishes[I].Leaving, Kept,
-                        Health.byGroup(), Health.share(Now), Health.state(),
-                        Health.reason(), Health.ejections()});
+                        Health.byGroup(), Health.share(Now), Doubt,
+                        Doubt > 0 ? Health.doubtedAt() : Instant(),
+                        Health.state(), Health.reason(), Health.ejections()});
   }
   return Verdicts;
 }
--- a/src/core/service_health.h
+++ b/src/core/service_health.h
@@ -5,6 +5,7 @@
 #include "core/target_health.h"
 #include "siskinstage/service_record.h"
 
+#include <deque>
 #include <map>
 #include <set>
 #include <vector>
@@ -19,6 +20,8 @@
   bool KeptByFloor = false; ///< Sick, but the floor keeps it in.
   bool ByGroup = false;     ///< Ejected on the reports of several nodes.
   double Share = 1.0;       ///< Part of its usual work.
+  std::uint32_t Doubt = 0;  ///< Failures since its last success.
+  Instant DoubtedAt;        ///< When the last of them was seen.
   TargetHealth::State State = TargetHealth::State::Healthy;
   std::string Reason;
   std::uint32_t Ejections = 0;
@@ -71,8 +74,12 @@
   ServiceRecord Record;
   std::map<TargetId, Tracked> Targets;
   UsualLatency Usual;
+  /// The latest successes of all targets, for as long as single targets have
+  /// too few of them.
+  std::deque<Duration> Pooled;
 
   void updateUsual();
+  [[nodiscard]] UsualLatency pooledUsual() const;
   void observeProbe(TargetHealth &Health, Observation Seen,
                     const DetectionLimits &Limits);
 };
--- a/src/core/target_health.cpp
+++ b/src/core/target_health.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr double LeastShare = 0.1;
-constexpr double HighPercentile = 0.9;
 constexpr std::uint32_t ProbationFailures = 2;
 
 bool isFailure(Evidence What) {
@@ -79,11 +78,11 @@
 DetectionLimits DetectionLimits::of(DetectionPreference Preference) {
   if (Preference == DetectionPreference::Fast)
     return {config::FastConsecutiveFailures, config::FastFailureFraction,
-            config::SlowFactorFast, config::FastReporters,
-            config::FastVerdicts};
+            config::SlowFactorFast,          config::OverdueFactorFast,
+            config::FastReporters,           config::FastVerdicts};
   return {config::CarefulConsecutiveFailures, config::CarefulFailureFraction,
-          config::SlowFactorCareful, config::CarefulReporters,
-          config::CarefulVerdicts};
+          config::SlowFactorCareful,          config::OverdueFactorCareful,
+          config::CarefulReporters,           config::CarefulVerdicts};
 }
 
 void TargetHealth::observe(const Observation &Seen,
@@ -124,6 +123,8 @@
          Seen.At - this->Window.front().At > config::EvidenceAge)
     this->Window.pop_front();
   this->Streak = Failed ? this->Streak + 1 : 0;
+  if (Failed)
+    this->DoubtedAt = Seen.At;
   this->Kind = Seen.What == Evidence::ConnectFailed ? ReportKind::Unreachable
                                                     : ReportKind::Failing;
 }
@@ -164,6 +165,8 @@
     return;
   }
   this->Reports[Report.From] = Report;
+  if (Report.Streak > 0)
+    this->DoubtedAt = Report.At;
   if (this->Now != State::Ejected)
     this->judgeReports(Report.At, Limits, OwnDomain);
 }
@@ -259,6 +262,14 @@
   }
 }
 
+std::uint32_t TargetHealth::doubt(Instant At) const {
+  std::uint32_t Failures = this->Streak;
+  for (const auto &[From, Each] : this->Reports)
+    if (At - Each.At <= config::ReportMemory)
+      Failures += Each.Streak;
+  return Failures;
+}
+
 double TargetHealth::failureFraction() const {
   if (this->Window.empty())
     return 0;
@@ -281,7 +292,7 @@
     Found.Median = Latencies[Latencies.size() / 2];
   if (Latencies.size() >= config::MinWindowSamples)
     Found.High = Latencies[static_cast<std::size_t>(
-        static_cast<double>(Latencies.size()) * HighPercentile)];
+        static_cast<double>(Latencies.size()) * config::HighPercentile)];
   this->Percentiles = Found;
   return Found;
 }
--- a/src/core/target_health.h
+++ b/src/core/target_health.h
@@ -36,6 +36,10 @@
 
   [[nodiscard]] State state() const { return this->Now; }
   [[nodiscard]] bool leaving() const { return this->IsLeaving; }
+  /// Failures since the last success, as seen here and by others of late.
+  [[nodiscard]] std::uint32_t doubt(Instant Now) const;
+  /// When the last of them was seen.
+  [[nodiscard]] Instant doubtedAt() const { return this->DoubtedAt; }
   /// Order in which sick targets are kept in when the floor binds.
   [[nodiscard]] double sickness() const;
   /// Share of its usual work that the target may get, above 0 to 1.
@@ -69,6 +73,7 @@
   /// Percentiles of Window's successes, if they are still up to date.
   mutable std::optional<UsualLatency> Percentiles;
   std::uint32_t Streak = 0;
+  Instant DoubtedAt;
   ReportKind Kind = ReportKind::Failing;
   std::map<Address, PeerReport> Reports;
   std::map<Address, Instant> Verdicts; ///< Who ejected it, and when.
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -23,7 +23,7 @@
 }
 
 bool isSettled(const TargetVerdict &Verdict) {
-  return Verdict.State == TargetHealth::State::Healthy;
+  return Verdict.State == TargetHealth::State::Healthy && Verdict.Doubt == 0;
 }
 
 } // namespace
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -86,7 +86,7 @@
 tl::expected<TargetLease, DispatchEnd> Dispatcher::enter() {
   auto Lease = this->Order.Service->Gate->enter(
       this->Context.Snapshots, this->Context.Set.Domain, this->Tried,
-      this->Order.Deadline);
+      this->Order.Kind, this->Order.Deadline);
   if (Lease)
     return std::move(*Lease);
   if (this->Spare)
@@ -97,23 +97,17 @@
       this->refuse(503, Cause.Where, Cause.Peer, Cause.Reason));
 }
 
-Duration Dispatcher::silentLimit() const {
-  // The work of a request that must not run twice can't be tried elsewhere.
-  if (this->Order.Kind == Repeatability::AtMostOnce)
-    return Duration::zero();
-  const auto Usual = std::chrono::duration_cast<Duration>(
-      this->Order.Service->Typical * config::SilentLatencyFactor);
-  return std::max<Duration>(config::SilentMinimum, Usual);
-}
-
 Duration Dispatcher::overdueAfter() const {
   const ServiceView &Service = *this->Order.Service;
   // Without a usual latency only the route can tell what is overdue.
-  if (Service.High == Duration::zero())
+  if (Service.High == Duration::zero() &&
+      this->Order.Limits.Objective > Millis::zero())
     return std::chrono::duration_cast<Duration>(
         this->Order.Limits.Objective * config::OverdueObjectivePart);
+  if (Service.High == Duration::zero())
+    return config::SilentMinimum;
   const double Factor =
-      DetectionLimits::of(Service.Record.Detection).SlowFactor;
+      DetectionLimits::of(Service.Record.Detection).OverdueFactor;
   const auto Usual = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::nano>(
           Factor * static_cast<double>(Service.High.count())));
@@ -133,6 +127,7 @@
       false,
       false,
       false,
+      false,
       {}});
 }
 
@@ -152,7 +147,6 @@
                             this->Order.Deadline,
                             this->Order.Service->Record.RequireEcho,
                             this->Order.Caller,
-                            this->silentLimit(),
                             this->overdueAfter(),
                             [this, &Target, Started = bootNow()] {
                               return this->giveUpOverdue(Target, Started);
@@ -178,7 +172,6 @@
   this->observe(Target, Evidence::Overdue, bootNow() - Started);
   const bool Another =
       this->Order.Kind == Repeatability::Repeatable &&
-      this->Order.Limits.Objective > Millis::zero() &&
       this->Order.Body->replayable() && this->Attempts < this->maxAttempts() &&
       this->Tried.size() < this->Order.Service->Targets.size() &&
       timeLeft(this->Order.Deadline) > this->Order.Service->Typical;
@@ -240,6 +233,8 @@
     this->Tried.erase(Target.Spec.Id);
     return;
   }
+  if (Failed.GivenUp)
+    return; // That it was overdue has been noted.
   Evidence What = Evidence::Failure;
   if (Failed.Attempt.What == AttemptFailure::Kind::ConnectFailed)
     What = Evidence::ConnectFailed;
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -76,7 +76,6 @@
   tl::expected<TargetLease, DispatchEnd> enter();
   ExchangeResult<std::unique_ptr<TargetExchange>> attempt(TargetLease &Lease);
   ExchangeResult<PooledConnection> connect(const TargetView &Target);
-  [[nodiscard]] Duration silentLimit() const;
   /// Time after which a request without an answer counts against its target.
   [[nodiscard]] Duration overdueAfter() const;
   RequestPrint Print;
--- a/src/node/service_gate.cpp
+++ b/src/node/service_gate.cpp
@@ -1,4 +1,5 @@
 #include "node/service_gate.h"
+#include "core/doubt.h"
 #include "net/boot_time.h"
 #include "node/snapshot_holder.h"
 #include "node/target_gauge.h"
@@ -16,6 +17,10 @@
   return Own > 0 ? Own : View.Record.SlotsPerTarget.Value;
 }
 
+Doubt doubtOf(const TargetView &Target) {
+  return {Target.Verdict.Doubt, Target.Verdict.DoubtedAt};
+}
+
 /// Slots of a target that this node may use now.
 std::uint32_t usableSlots(const ServiceView &View, const TargetView &Target) {
   const double Usable =
@@ -72,7 +77,8 @@
 
 tl::expected<TargetLease, ServiceGate::Refusal>
 ServiceGate::tryEnter(const ServiceView &View, const FailureDomain &Own,
-                      const std::set<TargetId> &Tried, bool &Full) {
+                      const std::set<TargetId> &Tried, Repeatability Kind,
+                      bool &Full) {
   const Instant Now = bootNow();
   std::vector<Candidate> Candidates;
   Full = false;
@@ -92,7 +98,8 @@
     }
     Candidates.push_back({I, InFlight, Each.Gauge->load(Now),
                           slotsOf(View, Each),
-                          !Own.empty() && Each.Spec.Domain == Own});
+                          !Own.empty() && Each.Spec.Domain == Own,
+                          doubtHandicap(doubtOf(Each), InFlight, Kind, Now)});
   }
   const auto Chosen = pick(this->How, Candidates, this->Dice);
   if (!Chosen)
@@ -118,7 +125,8 @@
 
 tl::expected<TargetLease, ServiceGate::Refusal>
 ServiceGate::enter(const SnapshotHolder &Snapshots, const FailureDomain &Own,
-                   const std::set<TargetId> &Tried, Instant Deadline) {
+                   const std::set<TargetId> &Tried, Repeatability Kind,
+                   Instant Deadline) {
   const Instant Limit = std::min(Deadline, bootNow() + config::MaxQueueWait);
   std::unique_lock<std::mutex> Guard(this->Lock);
   bool Queued = false;
@@ -127,7 +135,7 @@
     if (!View)
       return tl::unexpected<Refusal>(Refusal::NoService);
     bool Full = false;
-    auto Entered = this->tryEnter(*View, Own, Tried, Full);
+    auto Entered = this->tryEnter(*View, Own, Tried, Kind, Full);
     if (Entered)
       return Entered;
     if (!Full)
--- a/src/node/service_gate.h
+++ b/src/node/service_gate.h
@@ -2,6 +2,7 @@
 #define SISKINSTAGE_NODE_SERVICE_GATE_H
 
 #include "core/pick.h"
+#include "core/repeatability.h"
 #include "core/retry_budget.h"
 #include "node/target_lease.h"
 #include "siskinstage/units.h"
@@ -40,6 +41,7 @@
   tl::expected<TargetLease, Refusal> enter(const SnapshotHolder &Snapshots,
                                            const FailureDomain &Own,
                                            const std::set<TargetId> &Tried,
+                                           Repeatability Kind,
                                            Instant Deadline);
   /// Called by TargetLease when a slot is free again.
   void leave();
@@ -65,7 +67,7 @@
   tl::expected<TargetLease, Refusal> tryEnter(const ServiceView &View,
                                               const FailureDomain &Own,
                                               const std::set<TargetId> &Tried,
-                                              bool &Full);
+                                              Repeatability Kind, bool &Full);
   [[nodiscard]] bool tooLate(const ServiceView &View, Instant Deadline) const;
 };
 
--- a/src/node/target_exchange.cpp
+++ b/src/node/target_exchange.cpp
@@ -94,6 +94,7 @@
         false,
         true,
         false,
+        false,
         {}});
   const auto Written =
       this->Taken.Connection.write(Text, this->Order.Deadline, this->Sent);
@@ -134,19 +135,15 @@
 }
 
 ExchangeResult<void> TargetExchange::readAnswerHead() {
-  const Instant Now = bootNow();
-  Instant Limit = this->Order.Deadline;
-  const bool MaySilence =
-      this->Taken.Reused && this->Order.SilentLimit > Duration::zero();
-  if (MaySilence)
-    Limit = std::min(Limit, Now + this->Order.SilentLimit);
+  const Instant Limit = this->Order.Deadline;
   while (true) {
     const auto Lines = this->awaitHead(Limit);
     if (!Lines) {
       const bool Malformed = std::holds_alternative<HttpRefusal>(Lines.error());
       ExchangeFailure Failed = this->failure(
           Malformed ? Kind::BadAnswer : Kind::NoAnswer, Lines.error());
-      Failed.StaleReuse = this->isStale(Failed, MaySilence);
+      Failed.GivenUp = this->GivenUp;
+      Failed.StaleReuse = this->isStale(Failed);
       return tl::unexpected<ExchangeFailure>(Failed);
     }
     auto Taking = this->takeHead(*Lines);
@@ -170,14 +167,9 @@
   }
 }
 
-bool TargetExchange::isStale(const ExchangeFailure &Failed,
-                             bool MaySilence) const {
-  if (!this->Taken.Reused || Failed.CallerGone || this->GivenUp ||
-      Failed.Attempt.What != Kind::NoAnswer)
-    return false;
-  if (!Failed.TimedOut)
-    return true;
-  return MaySilence && bootNow() < this->Order.Deadline;
+bool TargetExchange::isStale(const ExchangeFailure &Failed) const {
+  return this->Taken.Reused && !Failed.CallerGone && !Failed.TimedOut &&
+         Failed.Attempt.What == Kind::NoAnswer;
 }
 
 ReadResult<std::string> TargetExchange::awaitHead(Instant Limit) {
--- a/src/node/target_exchange.h
+++ b/src/node/target_exchange.h
@@ -27,8 +27,6 @@
   /// Watched while waiting, so that the work can be cancelled; null if the
   /// work goes on without its caller.
   const Wire *Caller = nullptr;
-  /// The longest wait for the first byte on a connection used before.
-  Duration SilentLimit{};
   /// Called once if no answer has begun after this time; zero for never.
   Duration OverdueAfter{};
   /// \returns whether the try is to be given up.
@@ -40,6 +38,7 @@
   AttemptFailure Attempt;
   bool CallerGone = false; ///< The caller went away or broke its body.
   bool TimedOut = false;
+  bool GivenUp = false;    ///< It was overdue and another try is made.
   bool StaleReuse = false; ///< A connection used before gave no byte.
   std::optional<HttpRefusal> BodyFault; ///< What was wrong with its body.
 };
@@ -111,8 +110,7 @@
   void readLoad();
   ExchangeFailure failure(AttemptFailure::Kind What, const ReadFault &Fault);
   /// Whether a connection used before is to blame, not the target.
-  [[nodiscard]] bool isStale(const ExchangeFailure &Failed,
-                             bool MaySilence) const;
+  [[nodiscard]] bool isStale(const ExchangeFailure &Failed) const;
   ExchangeFailure bodyFailure(const ReadFault &Fault);
 };
 
