Retries of the fleet are shared out; a target that was not reached costs no retry

Cause: nodes spent a tenth where the platform allows a fifth and a burst, and a request failed after two connects of 500 ms to targets behind a cut. Change: core/retry_share.h, fleet record's retry_burst, ConnectTimeout 200 ms, reports that a target is unreachable raise no doubt elsewhere.

--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -34,7 +34,11 @@
 
 // Connections to targets.
 inline constexpr std::size_t MaxConnectionsPerTarget = 16;
-inline constexpr std::chrono::milliseconds ConnectTimeout = 500ms;
+/// Some round trips between regions, 70 ms each: a longer wait is a lost packet
+/// or a cut path, and another target is tried sooner than either heals.
+inline constexpr std::chrono::milliseconds ConnectTimeout = 200ms;
+/// Targets that one request may fail to reach; it was sent to none of them.
+inline constexpr int MaxConnectFailures = 4;
 inline constexpr std::chrono::milliseconds TargetIdleLimit = 15s;
 inline constexpr std::chrono::milliseconds TargetAgeLimit = 300s;
 /// A pooled connection that answered within this time counts as proved alive.
--- a/src/core/record_parser.cpp
+++ b/src/core/record_parser.cpp
@@ -242,6 +242,8 @@
   Fleet.Name = Name;
   Fleet.RetryBudget =
       Fields.fraction("retry_budget", config::RetryBudgetFraction, 0, 1);
+  Fleet.RetryBurst =
+      Fields.fraction("retry_burst", 0, 0, static_cast<double>(MaxConcurrency));
   Fleet.EntriesPerAccount =
       Fields.number("entries_per_account", config::EntriesPerAccount, 1, 64);
   return Fleet;
--- a/src/core/retry_budget.cpp
+++ b/src/core/retry_budget.cpp
@@ -7,6 +7,12 @@
 RetryBudget::RetryBudget(double Fraction, double Burst)
     : Fraction(Fraction), Burst(Burst), Earned(Burst) {}
 
+void RetryBudget::configure(double NewFraction, double NewBurst) {
+  this->Fraction = NewFraction;
+  this->Burst = NewBurst;
+  this->Earned = std::min(this->Earned, NewBurst);
+}
+
 void RetryBudget::firstTry() {
   this->Earned = std::min(this->Burst, this->Earned + this->Fraction);
 }
--- a/src/core/retry_budget.h
+++ b/src/core/retry_budget.h
@@ -11,6 +11,10 @@
   /// \param Burst    the most retries that can be kept.
   RetryBudget(double Fraction, double Burst);
 
+  /// Changes the limits; of what is kept, what is above the new burst goes.
+  void configure(double Fraction, double Burst);
+  /// Begins again with nothing kept.
+  void empty() { this->Earned = 0; }
   void firstTry();
   /// Takes one retry from the budget. \returns false if there is none.
   [[nodiscard]] bool takeRetry();
--- /dev/null
+++ b/src/core/retry_share.h
@@ -0,0 +1,32 @@
+#ifndef SISKINSTAGE_CORE_RETRY_SHARE_H
+#define SISKINSTAGE_CORE_RETRY_SHARE_H
+
+#include "siskinstage/fleet_record.h"
+
+#include <cstddef>
+
+namespace siskinstage {
+
+/// What one node may spend of the fleet's retries for one service.
+struct RetryShare {
+  double Fraction = 0; ///< Retries for each of its own first tries.
+  double Burst = 0;    ///< The most that it may keep.
+  /// It begins with nothing and earns its burst, so that nodes that have just
+  /// started together don't spend it anew.
+  bool StartsEmpty = false;
+};
+
+/// A node's view of the fleet.
+struct FleetView {
+  std::size_t Live = 1;    ///< Live nodes, with this one.
+  std::size_t Entries = 0; ///< Nodes that callers are steered to; 0 for all.
+  bool IsEntry = true;     ///< This node is one of them.
+};
+
+/// The share of a node, so that all shares together stay within the record's
+/// budget: the entries have most of the burst, since most requests come there.
+RetryShare retryShare(const FleetRecord &Fleet, const FleetView &View);
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_CORE_RETRY_SHARE_H
--- a/src/core/target_health.cpp
+++ b/src/core/target_health.cpp
@@ -165,7 +165,7 @@
     return;
   }
   this->Reports[Report.From] = Report;
-  if (Report.Streak > 0)
+  if (Report.Streak > 0 && Report.What == ReportKind::Failing)
     this->DoubtedAt = Report.At;
   if (this->Now != State::Ejected)
     this->judgeReports(Report.At, Limits, OwnDomain);
@@ -265,7 +265,9 @@
 std::uint32_t TargetHealth::doubt(Instant At) const {
   std::uint32_t Failures = this->Streak;
   for (const auto &[From, Each] : this->Reports)
-    if (At - Each.At <= config::ReportMemory)
+    // That another node can't reach it says nothing of the path from here.
+    if (At - Each.At <= config::ReportMemory &&
+        Each.What == ReportKind::Failing)
       Failures += Each.Streak;
   return Failures;
 }
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -128,8 +128,7 @@
   const auto Deleted = std::holds_alternative<Tombstone>(New.Body);
   if (const auto *Fleet = std::get_if<FleetRecord>(&New.Body)) {
     this->Next.Fleet = *Fleet;
-    for (auto &[Name, Service] : this->Services)
-      Service.Gate->configure(this->record(Name)->Policy, Fleet->RetryBudget);
+    this->configureGates();
   } else if (const auto *Route = std::get_if<RouteRecord>(&New.Body)) {
     this->Next.Routes.add(*Route);
   } else if (const auto *Account = std::get_if<AccountRecord>(&New.Body)) {
@@ -194,7 +193,7 @@
   if (!Is.Gate)
     Is.Gate =
         std::make_shared<ServiceGate>(Name, this->Context.Keys.process().Value);
-  Is.Gate->configure(Is.Record.Policy, this->Next.Fleet.RetryBudget);
+  Is.Gate->configure(Is.Record.Policy, this->retries());
   Is.Health.configure(Is.Record, bootNow());
   Is.Health.setListedLeaving(this->ListedLeaving);
   Is.Group = this->groupOf(Name);
@@ -240,6 +239,7 @@
   this->Next.Nodes = std::move(Live);
   for (auto &[Name, Service] : this->Services)
     Service.Group = this->groupOf(Name);
+  this->configureGates();
   this->Changed = true;
 }
 
@@ -251,6 +251,26 @@
   Found->second.Unsettled = true;
 }
 
+RetryShare DecisionLoop::retries() const {
+  FleetView View;
+  View.Live = std::max<std::size_t>(this->Next.Nodes.size(), 1);
+  const std::size_t PerDomain = this->Context.Set.EntriesPerDomain;
+  if (PerDomain > 0) {
+    const auto Entries = domainEntries(this->Next.Nodes, PerDomain);
+    View.Entries = Entries.size();
+    View.IsEntry = std::any_of(
+        Entries.begin(), Entries.end(), [this](const SteeringNode &Each) {
+          return Each.Where == this->Context.Set.FleetAddress;
+        });
+  }
+  return retryShare(this->Next.Fleet, View);
+}
+
+void DecisionLoop::configureGates() {
+  for (auto &[Name, Service] : this->Services)
+    Service.Gate->configure(Service.Record.Policy, this->retries());
+}
+
 std::vector<Address> DecisionLoop::groupOf(const ServiceName &Name) const {
   const ServiceRecord *Record = this->record(Name);
   if (Record == nullptr)
--- a/src/node/decision_loop.h
+++ b/src/node/decision_loop.h
@@ -2,6 +2,7 @@
 #define SISKINSTAGE_NODE_DECISION_LOOP_H
 
 #include "core/record_store.h"
+#include "core/retry_share.h"
 #include "core/service_health.h"
 #include "node/config_update.h"
 #include "node/snapshot.h"
@@ -76,6 +77,9 @@
   void checkReady(Instant Now);
   void noteEjection(const ServiceName &Name, const TargetVerdict &Verdict);
   [[nodiscard]] const RecordStore &records() const;
+  /// What this node may spend of the fleet's retries.
+  [[nodiscard]] RetryShare retries() const;
+  void configureGates();
   [[nodiscard]] std::vector<Address> groupOf(const ServiceName &Name) const;
   void decideAll(Instant Now);
   void decide(const ServiceName &Name, Held &Service, Instant Now);
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -137,6 +137,7 @@
   auto Taken = this->connect(Target);
   if (!Taken)
     return tl::unexpected<ExchangeFailure>(Taken.error());
+  ++this->Attempts;
   this->Outgoing.setHost(
       this->Order.Request->Head.get("Host", Target.Spec.Where.str()));
   ExchangeOrder Exchange = {this->Outgoing,
@@ -254,7 +255,11 @@
   Now.TargetLeft = this->Tried.size() < this->Order.Service->Targets.size();
   if (!mayRetry(Failed, this->Order.Kind, Now))
     return false;
-  if (!std::exchange(this->RetryPaid, false) &&
+  // What reached no target costs none of them anything.
+  const bool Reached = Failed.What != AttemptFailure::Kind::ConnectFailed;
+  if (!Reached && ++this->Unreached > config::MaxConnectFailures)
+    return false;
+  if (Reached && !std::exchange(this->RetryPaid, false) &&
       !this->Order.Service->Gate->takeRetry())
     return false;
   this->Context.Measured.retried();
@@ -346,7 +351,6 @@
     if (auto End = this->checkBeforeDispatch())
       return std::move(*End);
 
-    ++this->Attempts;
     const TargetView Target = Lease->target();
     this->Tried.insert(Target.Spec.Id);
     const Instant Started = bootNow();
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -65,7 +65,8 @@
   DispatchOrder Order;
   Poco::Net::HTTPRequest Outgoing;
   std::set<TargetId> Tried;
-  int Attempts = 0;
+  int Attempts = 0;  ///< Targets that it was sent to.
+  int Unreached = 0; ///< Targets that could not be reached.
   bool MayHaveRun = false;
   /// A retry was taken from the budget when the try was given up.
   bool RetryPaid = false;
--- a/src/node/request_flow.cpp
+++ b/src/node/request_flow.cpp
@@ -59,7 +59,7 @@
   if (!this->Body.whole())
     this->Reply.closeAfter();
   this->Context.Measured.refused(Refused.Cause.Where, Refused.What);
-  logEvent(Refused.What == Outcome::Unknown ? LogLevel::Warn : LogLevel::Debug,
+  logEvent(Refused.What == Outcome::Unknown ? LogLevel::Warn : LogLevel::Info,
            "request " + this->Request.Id.str() + " is refused",
            {{"outcome", outcomeName(Refused.What)},
             {"step", stepName(Refused.Cause.Where)},
--- a/src/node/service_gate.cpp
+++ b/src/node/service_gate.cpp
@@ -60,19 +60,18 @@
 
 ServiceGate::ServiceGate(ServiceName Name, std::uint64_t Seed)
     : Name(std::move(Name)), How(makePolicy(RoutingPolicy::TwoChoices)),
-      Dice(Seed), Budget(config::RetryBudgetFraction, config::RetryBudgetBurst),
-      RetryFraction(config::RetryBudgetFraction) {}
+      Dice(Seed), Budget(config::RetryBudgetFraction, config::RetryBudgetBurst) {}
 
-void ServiceGate::configure(RoutingPolicy Policy, double Fraction) {
+void ServiceGate::configure(RoutingPolicy Policy, const RetryShare &Retries) {
   const std::lock_guard<std::mutex> Guard(this->Lock);
   if (Policy != this->PolicyName) {
     this->PolicyName = Policy;
     this->How = makePolicy(Policy);
   }
-  if (Fraction == this->RetryFraction)
-    return;
-  this->RetryFraction = Fraction;
-  this->Budget = RetryBudget(Fraction, config::RetryBudgetBurst);
+  this->Budget.configure(Retries.Fraction, Retries.Burst);
+  if (!this->Configured && Retries.StartsEmpty)
+    this->Budget.empty();
+  this->Configured = true;
 }
 
 tl::expected<TargetLease, ServiceGate::Refusal>
--- a/src/node/service_gate.h
+++ b/src/node/service_gate.h
@@ -4,6 +4,7 @@
 #include "core/pick.h"
 #include "core/repeatability.h"
 #include "core/retry_budget.h"
+#include "core/retry_share.h"
 #include "node/target_lease.h"
 #include "siskinstage/units.h"
 
@@ -48,7 +49,7 @@
 
   void firstTry();
   [[nodiscard]] bool takeRetry();
-  void configure(RoutingPolicy Policy, double RetryFraction);
+  void configure(RoutingPolicy Policy, const RetryShare &Retries);
   [[nodiscard]] Stats stats();
 
 private:
@@ -59,7 +60,7 @@
   Policy How;
   Random Dice;
   RetryBudget Budget;
-  double RetryFraction = 0;
+  bool Configured = false;
   std::uint32_t Waiting = 0;
 
   /// Either a lease, or why there is none now; \p Full is set if targets were
