News of records stay within a failure domain

Cause: each node passed each record on to four random members: 75 KB between domains for one change; and all of them at the start, when every node reads the store itself. Change: core/news_spread.h; nothing is announced before a node is ready.

--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -184,6 +184,9 @@
 // Configuration between nodes.
 inline constexpr std::size_t WatchersPerDomain = 2;
 inline constexpr std::size_t NewsFanout = 4;
+/// A record is told to all nodes of a failure domain with up to so many others:
+/// one burst of datagrams of 20 KB in all.
+inline constexpr std::size_t NewsDirectMembers = 24;
 inline constexpr std::size_t MaxInlineRecordBytes = 700;
 inline constexpr std::chrono::milliseconds RecordSyncPeriod = 1s;
 inline constexpr std::size_t DigestBuckets = 256;
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -74,7 +74,7 @@
     this->adopt(New);
     logEvent(LogLevel::Info, "record " + New.Key.text() + " is in force",
              {{"revision", std::to_string(New.Rev.Value)}});
-    this->announce(New);
+    this->announce(New, Batch.From);
   }
   for (const ServiceName &Name : std::exchange(this->Stale, {}))
     this->refreshService(Name);
@@ -84,12 +84,19 @@
     this->ComparedDomains.insert(Batch.ComparedWith);
 }
 
-void DecisionLoop::announce(const Record &New) {
+void DecisionLoop::announce(const Record &New, const FailureDomain &From) {
+  // At its start every node reads everything itself.
+  if (!this->Next.Configured)
+    return;
+  NewsSource Source = NewsSource::Platform;
+  if (!From.empty())
+    Source = From == this->Context.Set.Domain ? NewsSource::OwnDomain
+                                              : NewsSource::OtherDomain;
   RecordNews News = {New.Key, New.Rev, ""};
   if (New.Text && New.Text->size() <= config::MaxInlineRecordBytes)
     News.Text = *New.Text;
   // One that is dropped here is found by the comparison of digests.
-  this->Context.GossipOrders.push(AnnounceRecord{std::move(News)});
+  this->Context.GossipOrders.push(AnnounceRecord{std::move(News), Source});
 }
 
 void DecisionLoop::checkReady(Instant Now) {
--- a/src/node/decision_loop.h
+++ b/src/node/decision_loop.h
@@ -72,7 +72,7 @@
   void refreshService(const ServiceName &Name);
   /// Takes out what the old version of a record put in.
   void withdraw(const Record &Old);
-  void announce(const Record &New);
+  void announce(const Record &New, const FailureDomain &From);
   /// Whether enough has been compared to answer callers.
   void checkReady(Instant Now);
   void noteEjection(const ServiceName &Name, const TargetVerdict &Verdict);
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -317,13 +317,15 @@
   this->noteAnswer(Target, *Exchange, Took);
   const bool NotRun = Exchange->saidNotRun();
   if (!NotRun && !this->worthRetrying(*Exchange))
-    return DispatchedAnswer{std::move(Exchange), std::move(Lease)};
+    return DispatchedAnswer{std::move(Exchange), std::move(Lease),
+                            this->Attempts};
   Failed.Attempt = {
       NotRun ? AttemptFailure::Kind::Refused : AttemptFailure::Kind::BadAnswer,
       true, "status " + std::to_string(Exchange->answer().Status)};
   Exchange->finish(Target.Gauge->Pool);
   if (!NotRun)
-    this->Spare = DispatchedAnswer{std::move(Exchange), TargetLease()};
+    this->Spare =
+        DispatchedAnswer{std::move(Exchange), TargetLease(), this->Attempts};
   return std::nullopt;
 }
 
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -45,6 +45,7 @@
 struct DispatchedAnswer {
   std::unique_ptr<TargetExchange> Exchange;
   TargetLease Lease;
+  int Sends = 1; ///< Targets that the request was sent to.
 };
 
 /// The caller has gone and nobody waits for an answer.
--- a/src/node/gossip_loop.cpp
+++ b/src/node/gossip_loop.cpp
@@ -38,7 +38,7 @@
 } // namespace
 
 GossipLoop::GossipLoop(NodeContext &Context, std::uint64_t Seed)
-    : Context(Context), Members(selfOf(Context), Seed),
+    : Context(Context), Members(selfOf(Context), Seed), Dice(Seed + 1),
       Seal(*Context.Set.Keys, Context.Keys.process()) {}
 
 Result<std::unique_ptr<GossipLoop>> GossipLoop::start(NodeContext &Context,
@@ -142,6 +142,7 @@
     return;
   }
   RecordBatch Batch;
+  Batch.From = From.Domain;
   takeRecordText(this->Context, News.Text, From.Where, Batch);
   this->Context.Updates.push(Batch);
 }
@@ -176,7 +177,9 @@
 }
 
 void GossipLoop::obey(const AnnounceRecord &Order) {
-  for (const Address &To : this->Members.sample(config::NewsFanout))
+  for (const Address &To :
+       newsRecipients(this->Members.live(), this->Members.self(), Order.Source,
+                      this->Dice))
     this->send(To, this->Members.compose(Order.News));
 }
 
--- a/src/node/gossip_loop.h
+++ b/src/node/gossip_loop.h
@@ -28,6 +28,7 @@
   NodeContext &Context;
   Poco::Net::DatagramSocket Socket;
   Membership Members;
+  Random Dice;
   GossipSeal Seal;
   std::uint64_t ShownVersion = 0;
   Instant NextShow;
--- a/src/node/gossip_order.h
+++ b/src/node/gossip_order.h
@@ -2,6 +2,7 @@
 #define SISKINSTAGE_NODE_GOSSIP_ORDER_H
 
 #include "core/gossip_message.h"
+#include "core/news_spread.h"
 
 #include <variant>
 #include <vector>
@@ -11,6 +12,7 @@
 /// Tells some members of a new record.
 struct AnnounceRecord {
   RecordNews News;
+  NewsSource Source = NewsSource::Platform;
 };
 
 /// Tells the named nodes of a target.
--- a/src/node/peer_sync.cpp
+++ b/src/node/peer_sync.cpp
@@ -46,7 +46,7 @@
     if (!(*Theirs)[I].isUInt64() || (*Theirs)[I].asUInt64() == Own[I])
       continue;
     const auto Read =
-        this->readTexts(Task.Peer, Start + "bucket?n=" + std::to_string(I));
+        this->readTexts(Task, Start + "bucket?n=" + std::to_string(I));
     if (!Read)
       return Read;
   }
@@ -60,15 +60,17 @@
   Poco::URI Uri(std::string(PeerPathStart) + "record");
   Uri.addQueryParameter("kind", recordKindName(Task.Key.Kind));
   Uri.addQueryParameter("name", Task.Key.Name);
-  return this->readTexts(Task.Peer, Uri.getPathAndQuery());
+  return this->readTexts(Task, Uri.getPathAndQuery());
 }
 
-Result<void> PeerSync::readTexts(const Address &Peer,
+Result<void> PeerSync::readTexts(const SyncTask &Task,
                                  const std::string &Target) {
+  const Address &Peer = Task.Peer;
   const auto Texts = askPeer(this->Context, Peer, Target);
   if (!Texts)
     return tl::unexpected<Error>(Texts.error());
   RecordBatch Batch;
+  Batch.From = Task.Domain;
   for (const Json::Value &Text : *Texts)
     if (Text.isString())
       takeRecordText(this->Context, Text.asString(), Peer, Batch);
--- a/src/node/peer_sync.h
+++ b/src/node/peer_sync.h
@@ -24,7 +24,7 @@
   Result<void> readRecords(const SyncTask &Task);
   Result<void> readOneRecord(const SyncTask &Task);
   /// Reads records as texts and passes the good ones on.
-  Result<void> readTexts(const Address &Peer, const std::string &Target);
+  Result<void> readTexts(const SyncTask &Task, const std::string &Target);
   Result<void> readMembers(const SyncTask &Task);
 };
 
--- a/src/node/request_flow.cpp
+++ b/src/node/request_flow.cpp
@@ -377,6 +377,7 @@
 
 void RequestFlow::giveAnswer(DispatchedAnswer &Answer) {
   TargetExchange &Exchange = *Answer.Exchange;
+  this->logAnswer(Answer);
   this->Context.Measured.answered(Exchange.answer().Status);
   if (Exchange.bodyLeft())
     this->Reply.closeAfter();
@@ -396,6 +397,21 @@
   this->Context.Measured.attemptFailed(AttemptFailure::Kind::CutAnswer);
 }
 
+void RequestFlow::logAnswer(DispatchedAnswer &Answer) const {
+  const TargetView &Target = Answer.Lease.target();
+  const auto Took = std::chrono::duration_cast<Millis>(bootNow() -
+                                                       this->Request.Arrived);
+  logEvent(LogLevel::Debug, "request " + this->Request.Id.str() +
+                                " is answered",
+           {{"status", std::to_string(Answer.Exchange->answer().Status)},
+            {"service", this->Service->Record.Name.str()},
+            {"target", Target.Spec.Id.str()},
+            {"target_domain", Target.Spec.Domain.str()},
+            {"doubt", std::to_string(Target.Verdict.Doubt)},
+            {"sent_to", std::to_string(Answer.Sends)},
+            {"took_ms", std::to_string(Took.count())}});
+}
+
 bool RequestFlow::stream(TargetExchange &Exchange) {
   this->Reply.begin(Exchange.answer(), Exchange.length());
   bool Reading = this->Reply.part(Exchange.answer().Body);
--- a/src/node/request_flow.h
+++ b/src/node/request_flow.h
@@ -52,6 +52,7 @@
   DispatchEnd dispatchLimited(const std::string &OwnedKey);
   void give(DispatchEnd &End);
   void giveAnswer(DispatchedAnswer &Answer);
+  void logAnswer(DispatchedAnswer &Answer) const;
   /// \returns whether the answer was whole to its end.
   bool stream(TargetExchange &Exchange);
   void refuse(int Status, Outcome What, Step Where, std::string Peer,
