Tests of placement, shares of the fleet and the translation of the store

Cause: the test of malformed entries ended in an exception: a value that is no object was asked for a field, which would have ended the process.

--- /dev/null
+++ b/tests/unit/fleet_share_test.cpp
@@ -0,0 +1,106 @@
+#include "core/news_spread.h"
+#include "core/retry_budget.h"
+#include "core/retry_share.h"
+#include "siskinstage/config.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+namespace siskinstage {
+namespace {
+
+Member member(const std::string &Domain, int Number) {
+  Member Each;
+  Each.Domain = FailureDomain(Domain);
+  Each.Where =
+      Address("10.0." + std::to_string(Domain.back() - 'a') + "." +
+              std::to_string(Number) + ":80");
+  return Each;
+}
+
+std::vector<Member> members(int PerDomain) {
+  std::vector<Member> All;
+  for (const char *Domain : {"a", "b", "c", "d"})
+    for (int I = 1; I <= PerDomain; ++I)
+      All.push_back(member(Domain, I));
+  return All;
+}
+
+std::size_t countIn(const std::vector<Address> &To, int Domain) {
+  const std::string Start = "10.0." + std::to_string(Domain) + ".";
+  return static_cast<std::size_t>(
+      std::count_if(To.begin(), To.end(), [&](const Address &Each) {
+        return Each.str().rfind(Start, 0) == 0;
+      }));
+}
+
+TEST(NewsSpread, AWatcherTellsItsDomainAndOneOfEachOther) {
+  Random Dice(1);
+  const auto To = newsRecipients(members(8), member("a", 1),
+                                 NewsSource::Platform, Dice);
+  EXPECT_EQ(countIn(To, 0), 7U);
+  for (int Domain = 1; Domain < 4; ++Domain)
+    EXPECT_EQ(countIn(To, Domain), 1U);
+}
+
+TEST(NewsSpread, NewsFromAnotherDomainStaysInTheOwn) {
+  Random Dice(1);
+  const auto To = newsRecipients(members(8), member("a", 1),
+                                 NewsSource::OtherDomain, Dice);
+  EXPECT_EQ(To.size(), 7U);
+  EXPECT_EQ(countIn(To, 0), 7U);
+}
+
+TEST(NewsSpread, NewsOfTheOwnDomainEndsThere) {
+  Random Dice(1);
+  EXPECT_TRUE(newsRecipients(members(8), member("a", 1), NewsSource::OwnDomain,
+                             Dice)
+                  .empty());
+}
+
+TEST(NewsSpread, ALargeDomainPassesNewsOnInSteps) {
+  Random Dice(1);
+  const auto To = newsRecipients(members(200), member("a", 1),
+                                 NewsSource::OwnDomain, Dice);
+  EXPECT_EQ(To.size(), config::NewsFanout);
+}
+
+FleetRecord fleet() {
+  FleetRecord Fleet;
+  Fleet.RetryBudget = 0.2;
+  Fleet.RetryBurst = 56;
+  return Fleet;
+}
+
+TEST(RetryShare, AllSharesTogetherStayWithinTheBurst) {
+  for (const std::size_t Live : {1U, 4U, 32U, 100U}) {
+    const std::size_t Entries = std::min<std::size_t>(8, Live);
+    double Sum = 0;
+    for (std::size_t I = 0; I < Live; ++I)
+      Sum += retryShare(fleet(), {Live, Entries, I < Entries}).Burst;
+    EXPECT_LE(Sum, 56) << Live << " nodes";
+    EXPECT_GE(Sum, 56 * 0.7) << Live << " nodes";
+  }
+}
+
+TEST(RetryShare, ANodeThatHasJustStartedEarnsItsBurst) {
+  const RetryShare Share = retryShare(fleet(), {});
+  RetryBudget Budget(0, 0);
+  Budget.configure(Share.Fraction, Share.Burst);
+  EXPECT_TRUE(Share.StartsEmpty);
+  Budget.empty();
+  EXPECT_FALSE(Budget.takeRetry());
+  for (int I = 0; I < 6; ++I)
+    Budget.firstTry();
+  EXPECT_TRUE(Budget.takeRetry());
+  EXPECT_FALSE(Budget.takeRetry());
+}
+
+TEST(RetryShare, WithoutAFleetWideBurstEachNodeHasItsOwn) {
+  const RetryShare Share = retryShare(FleetRecord(), {32, 8, true});
+  EXPECT_EQ(Share.Burst, config::RetryBudgetBurst);
+  EXPECT_FALSE(Share.StartsEmpty);
+}
+
+} // namespace
+} // namespace siskinstage
--- /dev/null
+++ b/tests/unit/placement_test.cpp
@@ -0,0 +1,97 @@
+#include "core/doubt.h"
+#include "core/pick.h"
+#include "core/pick_backend.h"
+#include "siskinstage/config.h"
+
+#include <gtest/gtest.h>
+#include <map>
+
+namespace siskinstage {
+namespace {
+
+Instant at(int Ms) { return Instant(Millis(Ms)); }
+
+Candidate candidate(std::uint32_t Index, std::uint32_t InFlight,
+                    bool SameDomain) {
+  Candidate Each;
+  Each.Index = Index;
+  Each.InFlight = InFlight;
+  Each.Capacity = 3;
+  Each.SameDomain = SameDomain;
+  return Each;
+}
+
+std::uint32_t pickDomainFirst(const std::vector<Candidate> &Candidates) {
+  Policy How = makePolicy(RoutingPolicy::DomainFirst);
+  Random Dice(1);
+  return *pick(How, Candidates, Dice);
+}
+
+TEST(PickDomainFirst, PrefersAnIdleTargetOfItsDomain) {
+  EXPECT_EQ(pickDomainFirst({candidate(0, 0, false), candidate(1, 0, true)}),
+            1U);
+}
+
+TEST(PickDomainFirst, BorrowsAnIdleTargetFromABusyDomain) {
+  EXPECT_EQ(pickDomainFirst({candidate(0, 0, false), candidate(1, 1, true)}),
+            0U);
+}
+
+TEST(PickDomainFirst, SpreadsOverEqualTargets) {
+  Policy How = makePolicy(RoutingPolicy::DomainFirst);
+  Random Dice(7);
+  std::map<std::uint32_t, int> Chosen;
+  constexpr int Draws = 3000;
+  for (int I = 0; I < Draws; ++I)
+    ++Chosen[*pick(How,
+                   {candidate(0, 0, true), candidate(1, 0, true),
+                    candidate(2, 0, true)},
+                   Dice)];
+  for (const auto &[Index, Count] : Chosen)
+    EXPECT_NEAR(Count, Draws / 3, Draws / 20);
+}
+
+TEST(PickDomainFirst, PassesADoubtedTargetOverForABusyOne) {
+  std::vector<Candidate> Candidates = {candidate(0, 0, true),
+                                       candidate(1, 2, false)};
+  Candidates[0].Handicap =
+      doubtHandicap({1, at(1000)}, 0, Repeatability::AtMostOnce, at(1100));
+  EXPECT_EQ(pickDomainFirst(Candidates), 1U);
+}
+
+TEST(Doubt, EndsWithOneTrialAtATime) {
+  const Doubt Hanging = {2, at(1000)};
+  const Instant Later = at(1000) + config::DoubtLength;
+  EXPECT_EQ(doubtHandicap({}, 5, Repeatability::AtMostOnce, Later), 0);
+  EXPECT_EQ(doubtHandicap(Hanging, 0, Repeatability::Repeatable, Later), 0);
+  EXPECT_EQ(doubtHandicap(Hanging, 1, Repeatability::Repeatable, Later),
+            config::DoubtHandicap);
+}
+
+TEST(Doubt, LetsRepeatableWorkTryFirst) {
+  const Instant Later = at(0) + config::DoubtLength;
+  EXPECT_GT(doubtHandicap({1, at(0)}, 0, Repeatability::AtMostOnce, Later),
+            doubtHandicap({1, at(0)}, 0, Repeatability::Repeatable, Later));
+}
+
+TEST(PickBackend, KeepsTheShares) {
+  const std::vector<RouteBackend> Backends = {{ServiceName("a"), 90},
+                                              {ServiceName("b"), 10}};
+  Random Dice(3);
+  int Second = 0;
+  constexpr int Draws = 10'000;
+  for (int I = 0; I < Draws; ++I)
+    Second += pickBackend(Backends, Dice) == 1 ? 1 : 0;
+  EXPECT_NEAR(Second, Draws / 10, Draws / 50);
+}
+
+TEST(PickBackend, TakesNoneOfWeightZero) {
+  const std::vector<RouteBackend> Backends = {{ServiceName("a"), 0},
+                                              {ServiceName("b"), 1}};
+  Random Dice(3);
+  for (int I = 0; I < 100; ++I)
+    EXPECT_EQ(pickBackend(Backends, Dice), 1U);
+}
+
+} // namespace
+} // namespace siskinstage
--- /dev/null
+++ b/tests/unit/platform_translation_test.cpp
@@ -0,0 +1,153 @@
+#include "core/record_parser.h"
+#include "core/route_table.h"
+#include "platform/record_translation.h"
+
+#include <gtest/gtest.h>
+
+namespace siskinstage::platform {
+namespace {
+
+StoreItem server(const std::string &Value) {
+  StoreItem Item;
+  Item.Key = "servers/i-7f3a";
+  Item.Value = Value;
+  Item.Rev = {12};
+  return Item;
+}
+
+StoreItem config(const std::string &Value) {
+  StoreItem Item;
+  Item.Key = ConfigKey;
+  Item.Value = Value;
+  Item.Rev = {40};
+  return Item;
+}
+
+constexpr const char *GoodServer =
+    R"({"address":"10.128.0.9:8080","born":1700000000123,
+        "details":{"service":"h1","version":"v1","zone":"za","slots":3},
+        "status":{"state":"ready","seq":4,"warmup-left-s":1.5}})";
+
+constexpr const char *GoodConfig =
+    R"({"version":"00000007","routes":{
+        "r1":{"host":"a.example","prefix":"/x/","kind":"safe","timeout-s":1.5,
+              "target-latency-s":1,"priority":2,"max-attempts":2,
+              "backends":[{"service":"h1","weight":90},
+                          {"service":"h2","weight":10}]},
+        "r2":{"host":"a.example","prefix":"/y/","kind":"upload","timeout-s":4,
+              "target-latency-s":1,"priority":1,"max-attempts":2,
+              "service":"h2"}},
+        "services":{"h1":{"health-path":"/health"},"h2":{}},
+        "limits":{}})";
+
+TEST(PlatformTranslation, AServerIsATarget) {
+  const auto Wire = targetRecord(server(GoodServer));
+  ASSERT_TRUE(Wire) << Wire.error().text();
+  const auto Reading = readRecord(*Wire);
+  ASSERT_TRUE(Reading.Accepted);
+  EXPECT_EQ(Reading.Accepted->Rev.Value, 12U);
+  const auto &Target = std::get<TargetRecord>(Reading.Accepted->Body);
+  EXPECT_EQ(Target.Spec.Id.str(), "i-7f3a");
+  EXPECT_EQ(Target.Service.str(), "h1");
+  EXPECT_EQ(Target.Spec.Domain.str(), "za");
+  EXPECT_EQ(Target.Spec.Capacity.Value, 3U);
+  EXPECT_EQ(Target.Spec.Warmup, Millis(1500));
+  EXPECT_EQ(Target.Spec.Process.Value, 1700000000123U);
+  EXPECT_FALSE(Target.Spec.Leaving);
+}
+
+TEST(PlatformTranslation, ADrainingServerIsLeaving) {
+  std::string Text = GoodServer;
+  Text.replace(Text.find("ready"), 5, "draining");
+  EXPECT_TRUE((*targetRecord(server(Text)))["leaving"].asBool());
+}
+
+TEST(PlatformTranslation, AMalformedServerIsNamedWithItsField) {
+  const std::pair<std::string, std::string> Changes[] = {
+      {"\"ready\"", "\"asleep\""},
+      {"\"za\"", "7"},
+      {"\"slots\":3", "\"slots\":\"3\""},
+      {"1.5", "\"soon\""},
+      {"\"details\":{", "\"other\":{"}};
+  const std::string Fields[] = {"status.state", "details.zone",
+                                "details.slots", "status.warmup-left-s",
+                                "details"};
+  for (std::size_t I = 0; I < std::size(Changes); ++I) {
+    std::string Text = GoodServer;
+    Text.replace(Text.find(Changes[I].first), Changes[I].first.size(),
+                 Changes[I].second);
+    const auto Wire = targetRecord(server(Text));
+    ASSERT_FALSE(Wire) << Changes[I].second;
+    EXPECT_EQ(Wire.error().Peer, "servers/i-7f3a");
+    EXPECT_NE(Wire.error().Reason.find(Fields[I]), std::string::npos)
+        << Wire.error().Reason;
+  }
+  EXPECT_FALSE(targetRecord(server("\x01\x02")));
+  EXPECT_FALSE(targetRecord(server("[]")));
+}
+
+TEST(PlatformTranslation, AConfigurationIsOneBundle) {
+  const auto Wire = bundleRecord(config(GoodConfig), {});
+  ASSERT_TRUE(Wire) << Wire.error().text();
+  const auto Reading = readRecord(*Wire);
+  ASSERT_TRUE(Reading.Accepted) << Reading.Faults.front().text();
+  const auto &Bundle = std::get<BundleRecord>(Reading.Accepted->Body);
+  ASSERT_EQ(Bundle.Routes.size(), 2U);
+  EXPECT_EQ(Bundle.Routes[0].Repeatable, true);
+  EXPECT_EQ(Bundle.Routes[0].Backends[1].Weight, 10U);
+  EXPECT_EQ(Bundle.Routes[0].Timeout, Millis(1500));
+  EXPECT_EQ(Bundle.Routes[0].MaxAttempts, 2U);
+  EXPECT_EQ(Bundle.Routes[1].Repeatable, false);
+  ASSERT_EQ(Bundle.Services.size(), 2U);
+  EXPECT_EQ(Bundle.Services[0].HealthPath, "/health");
+  EXPECT_TRUE(Bundle.Services[0].RequireEcho);
+}
+
+TEST(PlatformTranslation, ABadConfigurationIsRefusedWhole) {
+  std::string Text = GoodConfig;
+  Text.replace(Text.find("\"timeout-s\":1.5"), 15, "\"timeout-s\":null");
+  const auto Wire = bundleRecord(config(Text), {});
+  ASSERT_FALSE(Wire);
+  EXPECT_NE(Wire.error().Reason.find("routes.r1.timeout-s"), std::string::npos);
+}
+
+TEST(PlatformTranslation, OnlyPathsBelowAPrefixMatch) {
+  const auto Reading = readRecord(*bundleRecord(config(GoodConfig), {}));
+  RouteTable Routes;
+  for (const RouteRecord &Route :
+       std::get<BundleRecord>(Reading.Accepted->Body).Routes)
+    Routes.add(Route);
+  EXPECT_NE(Routes.find("a.example", "/x/1", "GET"), nullptr);
+  EXPECT_NE(Routes.find("a.example", "/x/", "GET"), nullptr);
+  EXPECT_EQ(Routes.find("a.example", "/x", "GET"), nullptr);
+  EXPECT_EQ(Routes.find("a.example", "/xy/1", "GET"), nullptr);
+  EXPECT_EQ(Routes.find("b.example", "/x/1", "GET"), nullptr);
+}
+
+TEST(PlatformTranslation, BoundsGiveTheRetryBudget) {
+  const auto Wire =
+      fleetRecord("drain-s=2,retry-budget-ratio=0.2,retry-burst=56");
+  ASSERT_TRUE(Wire);
+  const auto Reading = readRecord(*Wire);
+  ASSERT_TRUE(Reading.Accepted);
+  const auto &Fleet = std::get<FleetRecord>(Reading.Accepted->Body);
+  EXPECT_DOUBLE_EQ(Fleet.RetryBudget, 0.2);
+  EXPECT_DOUBLE_EQ(Fleet.RetryBurst, 56);
+  EXPECT_FALSE(fleetRecord("retry-burst=many"));
+}
+
+TEST(PlatformTranslation, ItemsAreBase64) {
+  Json::Value Wire(Json::objectValue);
+  Wire["key"] = "servers/a";
+  Wire["revision"] = 5;
+  Wire["value"] = "bm9kZS0x";
+  ASSERT_TRUE(decodeItem(Wire));
+  EXPECT_EQ(decodeItem(Wire)->Value, "node-1");
+  Wire["value"] = "*";
+  EXPECT_FALSE(decodeItem(Wire));
+  Wire["removed"] = true;
+  EXPECT_TRUE(decodeItem(Wire)->Removed);
+}
+
+} // namespace
+} // namespace siskinstage::platform
