A doubt grows with each failure and halves with a success

Gray spells last about nine seconds, the doubt 2.5. Ruled out: a longer doubt after one failure: a slow request would doubt a healthy target in vain, so its length follows the count. Change: doubtLength, a count that a success halves, and that outlasts an ejection; a log line for each failed try with the beliefs behind it.

--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -116,9 +116,11 @@
 /// A target stays marked as leaving for this long after its last such sign.
 inline constexpr std::chrono::milliseconds LeavingMemory = 10s;
 inline constexpr std::chrono::milliseconds FirstEjection = 2s;
-/// After a failure, other targets are preferred for so long: the usual length
-/// of a gray spell.
-inline constexpr std::chrono::milliseconds DoubtLength = 2500ms;
+/// For each failure that counts, other targets are preferred for so long: a
+/// gray spell lasts several seconds, and one failure alone may be chance.
+inline constexpr std::chrono::milliseconds DoubtStep = 2s;
+/// The most failures that count: their doubt lasts as long as a gray spell.
+inline constexpr std::uint32_t MaxDoubt = 4;
 /// Handicap of a doubted target, in loads of all its slots: more than any
 /// target that is not doubted can have.
 inline constexpr double DoubtHandicap = 2.0;
--- a/src/core/doubt.h
+++ b/src/core/doubt.h
@@ -14,6 +14,9 @@
   Instant Last; ///< When the last one was seen.
 };
 
+/// How long other targets are preferred after \p Failures failures.
+Duration doubtLength(std::uint32_t Failures);
+
 /// The handicap of a doubted target when one is chosen, for targets that hang
 /// most of their work for seconds behind a good health check: they are passed
 /// over while others have room, then tried with one request at a time, first
--- a/src/core/service_health.h
+++ b/src/core/service_health.h
@@ -20,7 +20,7 @@
   bool KeptByFloor = false; ///< Sick, but the floor keeps it in.
   bool ByGroup = false;     ///< Ejected on the reports of several nodes.
   double Share = 1.0;       ///< Part of its usual work.
-  std::uint32_t Doubt = 0;  ///< Failures since its last success.
+  std::uint32_t Doubt = 0;  ///< Failures not made up for.
   Instant DoubtedAt;        ///< When the last of them was seen.
   TargetHealth::State State = TargetHealth::State::Healthy;
   std::string Reason;
--- a/src/core/target_health.cpp
+++ b/src/core/target_health.cpp
@@ -1,4 +1,5 @@
 #include "core/target_health.h"
+#include "core/doubt.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
@@ -123,6 +124,9 @@
          Seen.At - this->Window.front().At > config::EvidenceAge)
     this->Window.pop_front();
   this->Streak = Failed ? this->Streak + 1 : 0;
+  // One success of a target that fails most of its work proves little.
+  this->Doubt = Failed ? std::min(this->Doubt + 1, config::MaxDoubt)
+                       : this->Doubt / 2;
   if (Failed)
     this->DoubtedAt = Seen.At;
   this->Kind = Seen.What == Evidence::ConnectFailed ? ReportKind::Unreachable
@@ -263,10 +267,10 @@
 }
 
 std::uint32_t TargetHealth::doubt(Instant At) const {
-  std::uint32_t Failures = this->Streak;
+  std::uint32_t Failures = this->Doubt;
   for (const auto &[From, Each] : this->Reports)
     // That another node can't reach it says nothing of the path from here.
-    if (At - Each.At <= config::ReportMemory &&
+    if (At - Each.At <= doubtLength(Each.Streak) &&
         Each.What == ReportKind::Failing)
       Failures += Each.Streak;
   return Failures;
--- a/src/core/target_health.h
+++ b/src/core/target_health.h
@@ -36,7 +36,8 @@
 
   [[nodiscard]] State state() const { return this->Now; }
   [[nodiscard]] bool leaving() const { return this->IsLeaving; }
-  /// Failures since the last success, as seen here and by others of late.
+  /// Failures that successes have not made up for, as seen here and by others
+  /// of late.
   [[nodiscard]] std::uint32_t doubt(Instant Now) const;
   /// When the last of them was seen.
   [[nodiscard]] Instant doubtedAt() const { return this->DoubtedAt; }
@@ -73,6 +74,7 @@
   /// Percentiles of Window's successes, if they are still up to date.
   mutable std::optional<UsualLatency> Percentiles;
   std::uint32_t Streak = 0;
+  std::uint32_t Doubt = 0; ///< One more a failure, half a success.
   Instant DoubtedAt;
   ReportKind Kind = ReportKind::Failing;
   std::map<Address, PeerReport> Reports;
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -221,9 +221,35 @@
     this->Context.order(CrashNews{this->Print, Target.Spec.Id});
 }
 
+void Dispatcher::logFailure(const TargetView &Target,
+                            const ExchangeFailure &Failed,
+                            Duration Took) const {
+  const TargetVerdict &Verdict = Target.Verdict;
+  const auto DoubtAge =
+      Verdict.Doubt == 0 ? Duration::zero() : bootNow() - Verdict.DoubtedAt;
+  logEvent(
+      LogLevel::Info,
+      "request " + this->Order.Request->Id.str() + " failed at a target",
+      {{"service", this->Order.Service->Record.Name.str()},
+       {"target", Target.Spec.Id.str()},
+       {"target_domain", Target.Spec.Domain.str()},
+       {"failure", attemptFailureName(Failed.Attempt.What)},
+       {"reason", Failed.Attempt.Reason},
+       {"given_up", Failed.GivenUp ? "yes" : "no"},
+       {"took_ms", std::to_string(
+                       std::chrono::duration_cast<Millis>(Took).count())},
+       {"sends", std::to_string(this->Attempts)},
+       {"in_flight_there", std::to_string(Target.Gauge->InFlight.load())},
+       {"state", targetStateName(Verdict.State)},
+       {"doubt", std::to_string(Verdict.Doubt)},
+       {"doubt_age_ms",
+        std::to_string(std::chrono::duration_cast<Millis>(DoubtAge).count())}});
+}
+
 void Dispatcher::noteFailure(const TargetView &Target,
                              const ExchangeFailure &Failed, Duration Took) {
   this->Context.Measured.attemptFailed(Failed.Attempt.What);
+  this->logFailure(Target, Failed, Took);
   if (Failed.CallerGone ||
       Failed.Attempt.What == AttemptFailure::Kind::DeadlinePast)
     return;
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -90,6 +90,9 @@
   /// Notes evidence of a finished try.
   void noteAnswer(const TargetView &Target, TargetExchange &Exchange,
                   Duration Took);
+  /// Says what failed where, and what was believed of the target before.
+  void logFailure(const TargetView &Target, const ExchangeFailure &Failed,
+                  Duration Took) const;
   void noteFailure(const TargetView &Target, const ExchangeFailure &Failed,
                    Duration Took);
   void observe(const TargetView &Target, Evidence What, Duration Took);
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -1,6 +1,7 @@
 #include "core/doubt.h"
 #include "core/pick.h"
 #include "core/pick_backend.h"
+#include "core/target_health.h"
 #include "siskinstage/config.h"
 
 #include <gtest/gtest.h>
@@ -61,15 +62,53 @@
 
 TEST(Doubt, EndsWithOneTrialAtATime) {
   const Doubt Hanging = {2, at(1000)};
-  const Instant Later = at(1000) + config::DoubtLength;
+  const Instant Later = at(1000) + doubtLength(2);
   EXPECT_EQ(doubtHandicap({}, 5, Repeatability::AtMostOnce, Later), 0);
   EXPECT_EQ(doubtHandicap(Hanging, 0, Repeatability::Repeatable, Later), 0);
   EXPECT_EQ(doubtHandicap(Hanging, 1, Repeatability::Repeatable, Later),
             config::DoubtHandicap);
 }
 
+TEST(Doubt, LastsLongerWithEachFailure) {
+  EXPECT_EQ(doubtLength(0), Duration::zero());
+  EXPECT_LT(doubtLength(1), doubtLength(3));
+  EXPECT_EQ(doubtLength(config::MaxDoubt), doubtLength(100));
+}
+
+TEST(Doubt, OneSuccessDoesNotClearATargetThatFailsMostOfItsWork) {
+  TargetHealth Health;
+  const DetectionLimits Limits =
+      DetectionLimits::of(DetectionPreference::Careful);
+  Observation Seen;
+  Seen.What = Evidence::Overdue;
+  for (int I = 0; I < 2; ++I) {
+    Seen.At = at(100 * I);
+    Health.observe(Seen, Limits, {});
+  }
+  EXPECT_EQ(Health.doubt(at(200)), 2U);
+  Seen.What = Evidence::Success;
+  Seen.At = at(300);
+  Health.observe(Seen, Limits, {});
+  EXPECT_EQ(Health.doubt(at(300)), 1U);
+  Health.observe(Seen, Limits, {});
+  EXPECT_EQ(Health.doubt(at(300)), 0U);
+}
+
+TEST(Doubt, APathFaultOfAnotherNodeRaisesNone) {
+  TargetHealth Health;
+  PeerReport Report = {Address("10.0.0.1:1"), FailureDomain("a"),
+                       ReportKind::Unreachable, 2, at(0)};
+  const DetectionLimits Limits =
+      DetectionLimits::of(DetectionPreference::Careful);
+  Health.report(Report, Limits, FailureDomain("b"));
+  EXPECT_EQ(Health.doubt(at(100)), 0U);
+  Report.What = ReportKind::Failing;
+  Health.report(Report, Limits, FailureDomain("b"));
+  EXPECT_EQ(Health.doubt(at(100)), 2U);
+}
+
 TEST(Doubt, LetsRepeatableWorkTryFirst) {
-  const Instant Later = at(0) + config::DoubtLength;
+  const Instant Later = at(0) + doubtLength(1);
   EXPECT_GT(doubtHandicap({1, at(0)}, 0, Repeatability::AtMostOnce, Later),
             doubtHandicap({1, at(0)}, 0, Repeatability::Repeatable, Later));
 }
