--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -72,6 +72,10 @@
 /// What a target of another failure domain must be less loaded by, as a share
 /// of its slots: below one request of three, so that a free one is taken.
 inline constexpr double OtherDomainHandicap = 0.25;
+/// The same for a request with a large body, whose bytes between failure
+/// domains cost a fifth of its worth: it leaves the domain for a free slot only.
+inline constexpr double LargeBodyHandicap = 0.9;
+inline constexpr std::size_t LargeBodyBytes = 16 * 1024;
 /// The load that a target stated counts for this long: the length of a usual
 /// request, after which half of what it ran has ended.
 inline constexpr std::chrono::milliseconds ReportedLoadAge = 300ms;
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -84,9 +84,11 @@
 }
 
 tl::expected<TargetLease, DispatchEnd> Dispatcher::enter() {
+  const bool Large = this->Order.Body->held().size() > config::LargeBodyBytes;
   auto Lease = this->Order.Service->Gate->enter(
-      this->Context.Snapshots, this->Context.Set.Domain, this->Tried,
-      this->Order.Kind, this->Order.Deadline);
+      this->Context.Snapshots,
+      {this->Context.Set.Domain, this->Tried, this->Order.Kind, Large,
+       this->Order.Deadline});
   if (Lease)
     return std::move(*Lease);
   if (this->Spare)
--- a/src/node/service_gate.cpp
+++ b/src/node/service_gate.cpp
@@ -16,6 +16,19 @@
   return {Target.Verdict.Doubt, Target.Verdict.DoubtedAt};
 }
 
+bool isNear(const TargetView &Target, const PlacementOrder &Order) {
+  return !Order.Own.empty() && Target.Spec.Domain == Order.Own;
+}
+
+/// Handicap of a target for one request, in loads of all its slots.
+double handicapOf(const TargetView &Target, const PlacementOrder &Order,
+                  std::uint32_t InFlight, Instant Now) {
+  const double Doubted =
+      doubtHandicap(doubtOf(Target), InFlight, Order.Kind, Now);
+  const bool Far = Order.LargeBody && !isNear(Target, Order);
+  return Doubted + (Far ? config::LargeBodyHandicap : 0);
+}
+
 /// Slots of a target that this node may use now.
 std::uint32_t usableSlots(const ServiceView &View, const TargetView &Target) {
   const double Usable =
@@ -70,8 +83,7 @@
 }
 
 tl::expected<TargetLease, ServiceGate::Refusal>
-ServiceGate::tryEnter(const ServiceView &View, const FailureDomain &Own,
-                      const std::set<TargetId> &Tried, Repeatability Kind,
+ServiceGate::tryEnter(const ServiceView &View, const PlacementOrder &Order,
                       bool &Full) {
   const Instant Now = bootNow();
   std::vector<Candidate> Candidates;
@@ -79,7 +91,7 @@
   for (std::uint32_t I = 0; I < View.Targets.size(); ++I) {
     const TargetView &Each = View.Targets[I];
     const bool Open = Each.Verdict.Admitted && !Each.Gauge->SaidLeaving.load();
-    if (!Open || Tried.count(Each.Spec.Id) > 0)
+    if (!Open || Order.Tried.count(Each.Spec.Id) > 0)
       continue;
     const std::uint32_t InFlight = Each.Gauge->InFlight.load();
     if (InFlight >= usableSlots(View, Each)) {
@@ -92,8 +104,8 @@
     }
     Candidates.push_back({I, InFlight, Each.Gauge->load(Now),
                           slotsOf(View, Each),
-                          !Own.empty() && Each.Spec.Domain == Own,
-                          doubtHandicap(doubtOf(Each), InFlight, Kind, Now)});
+                          isNear(Each, Order),
+                          handicapOf(Each, Order, InFlight, Now)});
   }
   const auto Chosen = pick(this->How, Candidates, this->Dice);
   if (!Chosen)
@@ -118,10 +130,9 @@
 }
 
 tl::expected<TargetLease, ServiceGate::Refusal>
-ServiceGate::enter(const SnapshotHolder &Snapshots, const FailureDomain &Own,
-                   const std::set<TargetId> &Tried, Repeatability Kind,
-                   Instant Deadline) {
-  const Instant Limit = std::min(Deadline, bootNow() + config::MaxQueueWait);
+ServiceGate::enter(const SnapshotHolder &Snapshots,
+                   const PlacementOrder &Order) {
+  const Instant Limit = std::min(Order.Deadline, bootNow() + config::MaxQueueWait);
   std::unique_lock<std::mutex> Guard(this->Lock);
   bool Queued = false;
   while (true) {
@@ -129,7 +140,7 @@
     if (!View)
       return tl::unexpected<Refusal>(Refusal::NoService);
     bool Full = false;
-    auto Entered = this->tryEnter(*View, Own, Tried, Kind, Full);
+    auto Entered = this->tryEnter(*View, Order, Full);
     if (Entered)
       return Entered;
     if (!Full)
@@ -138,7 +149,7 @@
       return tl::unexpected<Refusal>(Refusal::TooLate);
     if (!Queued && this->Waiting >= config::MaxQueuePerService)
       return tl::unexpected<Refusal>(Refusal::QueueFull);
-    if (!Queued && this->tooLate(*View, Deadline))
+    if (!Queued && this->tooLate(*View, Order.Deadline))
       return tl::unexpected<Refusal>(Refusal::TooLate);
     Queued = true;
     ++this->Waiting;
--- a/src/node/service_gate.h
+++ b/src/node/service_gate.h
@@ -18,6 +18,15 @@
 
 class SnapshotHolder;
 
+/// A request that needs a target.
+struct PlacementOrder {
+  FailureDomain Own; ///< Of this node.
+  std::set<TargetId> Tried;
+  Repeatability Kind = Repeatability::AtMostOnce;
+  bool LargeBody = false;
+  Instant Deadline;
+};
+
 /// Lets requests to one service through to its targets: chooses the target,
 /// holds its slots, queues what finds none free, and keeps the retry budget.
 class ServiceGate : public std::enable_shared_from_this<ServiceGate> {
@@ -37,13 +46,10 @@
 
   ServiceGate(ServiceName Name, std::uint64_t Seed);
 
-  /// A slot at a target that is admitted and not in \p Tried; waits for one
-  /// until \p Deadline.
+  /// A slot at a target that is admitted and was not tried; waits for one
+  /// until the order's deadline.
   tl::expected<TargetLease, Refusal> enter(const SnapshotHolder &Snapshots,
-                                           const FailureDomain &Own,
-                                           const std::set<TargetId> &Tried,
-                                           Repeatability Kind,
-                                           Instant Deadline);
+                                           const PlacementOrder &Order);
   /// Called by TargetLease when a slot is free again.
   void leave();
 
@@ -65,10 +71,8 @@
 
   /// Either a lease, or why there is none now; \p Full is set if targets were
   /// left but had no free slot.
-  tl::expected<TargetLease, Refusal> tryEnter(const ServiceView &View,
-                                              const FailureDomain &Own,
-                                              const std::set<TargetId> &Tried,
-                                              Repeatability Kind, bool &Full);
+  tl::expected<TargetLease, Refusal>
+  tryEnter(const ServiceView &View, const PlacementOrder &Order, bool &Full);
   [[nodiscard]] bool tooLate(const ServiceView &View, Instant Deadline) const;
 };
 
