--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -73,7 +73,8 @@
 /// of its slots: below one request of three, so that a free one is taken.
 inline constexpr double OtherDomainHandicap = 0.25;
 /// The same for a request with a large body, whose bytes between failure
-/// domains cost a fifth of its worth: it leaves the domain for a free slot only.
+/// domains cost a fifth of its worth: it leaves the domain for a free slot
+/// only.
 inline constexpr double LargeBodyHandicap = 0.9;
 inline constexpr std::size_t LargeBodyBytes = 16 * 1024;
 /// The load that a target stated counts for this long: the length of a usual
--- a/include/siskinstage/route_record.h
+++ b/include/siskinstage/route_record.h
@@ -25,7 +25,7 @@
   /// by itself.
   bool BelowPrefixOnly = false;
   std::vector<std::string> Methods; ///< Empty for every method.
-  ServiceName Service; ///< Empty if Backends are set.
+  ServiceName Service;              ///< Empty if Backends are set.
   std::vector<RouteBackend> Backends;
   /// Whether a request may run twice; unset leaves it to the method.
   std::optional<bool> Repeatable;
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -90,7 +90,7 @@
   std::vector<Address> Seeds;
   std::unordered_map<Address, Known> Table;
   std::map<Address, News> Queue;
-  std::vector<Address> Turn; ///< Members still to be pinged in this round.
+  std::vector<Address> Turn;     ///< Members still to be pinged in this round.
   std::vector<Address> NearTurn; ///< The same within the own failure domain.
   std::uint64_t Periods = 0;
   std::optional<Probe> Pending;
--- a/src/core/record_parser.cpp
+++ b/src/core/record_parser.cpp
@@ -26,9 +26,8 @@
 const std::vector<std::string> KindNames = {"service", "route",  "account",
                                             "fleet",   "target", "bundle"};
 const std::vector<std::string> DetectionNames = {"fast", "careful"};
-const std::vector<std::string> PolicyNames = {"random", "round_robin",
-                                              "least_in_flight", "two_choices",
-                                              "domain_first"};
+const std::vector<std::string> PolicyNames = {
+    "random", "round_robin", "least_in_flight", "two_choices", "domain_first"};
 
 bool isNameByte(char Byte) {
   return std::isalnum(static_cast<unsigned char>(Byte)) != 0 || Byte == '-' ||
@@ -62,10 +61,9 @@
       static_cast<std::uint32_t>(Fields.number("slots", 0, 0, MaxSlots));
   Target.Leaving = Fields.flag("leaving").value_or(false);
   Target.Warmup = Millis(Fields.number("warmup_ms", 0, 0, mostMs()));
-  Target.Process.Value =
-      Fields.number("incarnation", 0, 0,
-                    static_cast<std::uint64_t>(
-                        std::numeric_limits<std::int64_t>::max()));
+  Target.Process.Value = Fields.number(
+      "incarnation", 0, 0,
+      static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max()));
   return Target;
 }
 
@@ -174,9 +172,8 @@
   if (Route.Backends.empty())
     Route.Service = ServiceName(readName(Fields, "service"));
   Route.Repeatable = Fields.flag("repeatable");
-  Route.MaxAttempts =
-      static_cast<std::uint32_t>(Fields.number("max_attempts", 0, 0,
-                                               MaxAttempts));
+  Route.MaxAttempts = static_cast<std::uint32_t>(
+      Fields.number("max_attempts", 0, 0, MaxAttempts));
   Route.Timeout = Millis(Fields.number("timeout_ms", 0, 0, mostMs()));
   Route.Objective = Millis(Fields.number("objective_ms", 0, 0, mostMs()));
   Route.Priority =
@@ -215,16 +212,16 @@
 
 BundleRecord readBundle(FieldReader &Fields, RecordReading &Reading) {
   BundleRecord Bundle;
-  Bundle.Routes = readParts<RouteRecord>(
-      Fields, Reading, "routes",
-      [&](FieldReader &Part, const std::string &Name) {
-        return readRoute(Part, Reading, Name);
-      });
-  Bundle.Services = readParts<ServiceRecord>(
-      Fields, Reading, "services",
-      [](FieldReader &Part, const std::string &Name) {
-        return readServiceFields(Part, Name);
-      });
+  Bundle.Routes =
+      readParts<RouteRecord>(Fields, Reading, "routes",
+                             [&](FieldReader &Part, const std::string &Name) {
+                               return readRoute(Part, Reading, Name);
+                             });
+  Bundle.Services =
+      readParts<ServiceRecord>(Fields, Reading, "services",
+                               [](FieldReader &Part, const std::string &Name) {
+                                 return readServiceFields(Part, Name);
+                               });
   return Bundle;
 }
 
--- a/src/core/route_table.cpp
+++ b/src/core/route_table.cpp
@@ -71,8 +71,8 @@
   while (true) {
     const auto *Routes = this->ByPrefix.find(keyOf(Host, Prefix));
     if (Routes != nullptr)
-      if (const RouteRecord *Route = forMethod(*Routes, Method,
-                                               Path.size() > Prefix.size()))
+      if (const RouteRecord *Route =
+              forMethod(*Routes, Method, Path.size() > Prefix.size()))
         return Route;
     if (Prefix.empty())
       return nullptr;
--- a/src/core/service_health.cpp
+++ b/src/core/service_health.cpp
@@ -27,8 +27,8 @@
   std::map<TargetId, Tracked> Kept;
   for (const TargetSpec &Spec : New.Targets) {
     const auto Found = this->Targets.find(Spec.Id);
-    const bool Known = Found != this->Targets.end() &&
-                       Found->second.Process == Spec.Process;
+    const bool Known =
+        Found != this->Targets.end() && Found->second.Process == Spec.Process;
     Tracked &Each = Kept[Spec.Id];
     if (Known) {
       Each = Found->second;
--- a/src/core/steering.cpp
+++ b/src/core/steering.cpp
@@ -64,8 +64,8 @@
   return Group;
 }
 
-std::vector<SteeringNode>
-domainEntries(const std::vector<SteeringNode> &Nodes, std::size_t PerDomain) {
+std::vector<SteeringNode> domainEntries(const std::vector<SteeringNode> &Nodes,
+                                        std::size_t PerDomain) {
   return serviceGroup(Nodes, ServiceName("entries of a failure domain"),
                       PerDomain);
 }
--- a/src/core/steering.h
+++ b/src/core/steering.h
@@ -34,8 +34,8 @@
 
 /// The entries that serve all services: in each failure domain the
 /// \p PerDomain nodes of the highest weight.
-std::vector<SteeringNode>
-domainEntries(const std::vector<SteeringNode> &Nodes, std::size_t PerDomain);
+std::vector<SteeringNode> domainEntries(const std::vector<SteeringNode> &Nodes,
+                                        std::size_t PerDomain);
 
 /// The \p Count nodes of \p Group to which \p Account is steered, best first,
 /// over as many failure domains as there are.
--- a/src/core/target_health.cpp
+++ b/src/core/target_health.cpp
@@ -125,8 +125,8 @@
     this->Window.pop_front();
   this->Streak = Failed ? this->Streak + 1 : 0;
   // One success of a target that fails most of its work proves little.
-  this->Doubt = Failed ? std::min(this->Doubt + 1, config::MaxDoubt)
-                       : this->Doubt / 2;
+  this->Doubt =
+      Failed ? std::min(this->Doubt + 1, config::MaxDoubt) : this->Doubt / 2;
   if (Failed)
     this->DoubtedAt = Seen.At;
   this->Kind = Seen.What == Evidence::ConnectFailed ? ReportKind::Unreachable
@@ -317,8 +317,7 @@
   if (this->Now != State::Probation)
     return 1.0;
   const Duration Left = std::max(this->Until - At, Duration::zero());
-  const double Passed =
-      1.0 - inNanoseconds(Left) / inNanoseconds(this->Ramp);
+  const double Passed = 1.0 - inNanoseconds(Left) / inNanoseconds(this->Ramp);
   return std::clamp(Passed, LeastShare, 1.0);
 }
 
--- a/src/net/flag_reader.cpp
+++ b/src/net/flag_reader.cpp
@@ -3,10 +3,14 @@
 #include <absl/flags/commandlineflag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/reflection.h>
+#include <absl/flags/usage.h>
 #include <algorithm>
 #include <cctype>
 #include <cstdlib>
 #include <deque>
+#include <iostream>
+#include <map>
+#include <string_view>
 
 namespace siskinstage {
 
@@ -40,6 +44,22 @@
   return Negated && absl::FindCommandLineFlag(Name.substr(2)) != nullptr;
 }
 
+/// The program's own flags by name; the library's are of no use to operators.
+std::map<std::string, const absl::CommandLineFlag *> ownFlags() {
+  std::map<std::string, const absl::CommandLineFlag *> Flags;
+  for (const auto &[Name, Flag] : absl::GetAllFlags())
+    if (Flag->Filename().find("absl/") == std::string::npos)
+      Flags[std::string(Name)] = Flag;
+  return Flags;
+}
+
+void printHelp() {
+  std::cout << absl::ProgramUsageMessage() << "\n\nFlags:\n";
+  for (const auto &[Name, Flag] : ownFlags())
+    std::cout << "  --" << Name << " (" << Flag->Help() << ") default: \""
+              << Flag->DefaultValue() << "\"\n";
+}
+
 void readEnvironment(const std::vector<std::string> &Names,
                      std::vector<Error> &Faults) {
   for (const std::string &Name : Names) {
@@ -58,6 +78,11 @@
 std::vector<std::string> readFlags(int Argc, char **Argv,
                                    const std::vector<std::string> &Names,
                                    std::vector<Error> &Faults) {
+  for (int I = 1; I < Argc; ++I)
+    if (std::string_view(Argv[I]) == "--help") {
+      printHelp();
+      std::exit(EXIT_SUCCESS);
+    }
   readEnvironment(Names, Faults);
   // Abseil keeps pointers to the words that are no flags.
   static std::deque<std::string> Words;
--- a/src/net/flag_reader.h
+++ b/src/net/flag_reader.h
@@ -11,6 +11,7 @@
 /// Reads a program's Abseil flags, which must all be strings or booleans: first
 /// the environment variables SISKINSTAGE_<NAME>, then the command line, where
 /// "--print-settings" is the same as "--print_settings".
+/// "--help" prints all flags with their defaults and ends the program with 0.
 /// \param Names  the flags that an environment variable may set.
 /// \param Faults receives one entry for each unknown flag.
 /// \returns the arguments that are no flags, without the program's name.
--- a/src/node/caller_connection.cpp
+++ b/src/node/caller_connection.cpp
@@ -98,9 +98,8 @@
     refuseHead(this->Context, Caller, {400, readFaultText(Head.error())});
     return false;
   }
-  const auto Request =
-      readCallerRequest(*Head, this->Context.newRequestId(), Arrived,
-                        this->Context.Set.Speak);
+  const auto Request = readCallerRequest(*Head, this->Context.newRequestId(),
+                                         Arrived, this->Context.Set.Speak);
   if (!Request) {
     refuseHead(this->Context, Caller, Request.error());
     return false;
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -23,7 +23,8 @@
   return Signals;
 }
 
-void awaitStopSignal() {
+/// Serves signals until one that ends the node.
+void serveSignals(Node &Running) {
   const sigset_t Signals = awaitedSignals();
   while (true) {
     int Signal = 0;
@@ -31,9 +32,7 @@
       continue;
     if (Signal != SIGHUP)
       return;
-    logEvent(LogLevel::Info,
-             "SIGHUP: the settings are those of the start; a new process takes "
-             "new ones");
+    Running.reload();
   }
 }
 
@@ -63,7 +62,7 @@
     logError(LogLevel::Error, "the node can't start", Started.error());
     return EXIT_FAILURE;
   }
-  awaitStopSignal();
+  serveSignals(**Started);
   (*Started)->shutDown();
   // Connections that outlived the limit are cut with the process; their
   // handlers may still run, so nothing they use is taken apart.
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -48,9 +48,9 @@
 }
 
 Duration DecisionLoop::pause() const {
-  const bool Waiting = std::any_of(
-      this->Services.begin(), this->Services.end(),
-      [](const auto &Each) { return Each.second.Unsettled; });
+  const bool Waiting =
+      std::any_of(this->Services.begin(), this->Services.end(),
+                  [](const auto &Each) { return Each.second.Unsettled; });
   return Waiting || !this->Next.Configured ? config::DecisionPeriod
                                            : config::DecisionRest;
 }
@@ -397,8 +397,7 @@
   View->High = Service.Usual.High;
   for (std::size_t I = 0; I < Service.Verdicts.size(); ++I) {
     const TargetSpec &Spec = View->Record.Targets[I];
-    View->Targets.push_back(
-        {Spec, Service.Verdicts[I], this->gaugeOf(Spec)});
+    View->Targets.push_back({Spec, Service.Verdicts[I], this->gaugeOf(Spec)});
   }
   this->Next.ServiceViews.set(Name, std::move(View));
 }
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -27,16 +27,6 @@
   std::this_thread::sleep_for(std::min(Wait, timeLeft(Deadline)));
 }
 
-/// A time to come back, spread so that those refused together do not return
-/// together.
-Duration spreadRetryAfter() {
-  thread_local Random Dice(
-      static_cast<std::uint64_t>(bootNow().time_since_epoch().count()));
-  const Duration Span = config::RetryAfterMost - config::RetryAfterLeast;
-  return config::RetryAfterLeast +
-         std::chrono::duration_cast<Duration>(Span * Dice.unit());
-}
-
 Error refusedBy(ServiceGate::Refusal Why, const std::string &Service) {
   switch (Why) {
   case ServiceGate::Refusal::NoTarget:
@@ -86,9 +76,8 @@
 tl::expected<TargetLease, DispatchEnd> Dispatcher::enter() {
   const bool Large = this->Order.Body->held().size() > config::LargeBodyBytes;
   auto Lease = this->Order.Service->Gate->enter(
-      this->Context.Snapshots,
-      {this->Context.Set.Domain, this->Tried, this->Order.Kind, Large,
-       this->Order.Deadline});
+      this->Context.Snapshots, {this->Context.Set.Domain, this->Tried,
+                                this->Order.Kind, Large, this->Order.Deadline});
   if (Lease)
     return std::move(*Lease);
   if (this->Spare)
@@ -104,8 +93,8 @@
   // Without a usual latency only the route can tell what is overdue.
   if (Service.High == Duration::zero() &&
       this->Order.Limits.Objective > Millis::zero())
-    return std::chrono::duration_cast<Duration>(
-        this->Order.Limits.Objective * config::OverdueObjectivePart);
+    return std::chrono::duration_cast<Duration>(this->Order.Limits.Objective *
+                                                config::OverdueObjectivePart);
   if (Service.High == Duration::zero())
     return config::SilentMinimum;
   const double Factor =
@@ -238,8 +227,8 @@
        {"failure", attemptFailureName(Failed.Attempt.What)},
        {"reason", Failed.Attempt.Reason},
        {"given_up", Failed.GivenUp ? "yes" : "no"},
-       {"took_ms", std::to_string(
-                       std::chrono::duration_cast<Millis>(Took).count())},
+       {"took_ms",
+        std::to_string(std::chrono::duration_cast<Millis>(Took).count())},
        {"sends", std::to_string(this->Attempts)},
        {"in_flight_there", std::to_string(Target.Gauge->InFlight.load())},
        {"state", targetStateName(Verdict.State)},
--- a/src/node/entries_answer.cpp
+++ b/src/node/entries_answer.cpp
@@ -124,10 +124,10 @@
     return refuse(404,
                   "service " + Question->Service.str() + " is not configured");
   const auto Entries = entriesFor(*Question, *View, Now);
-  const bool Steered = std::any_of(Entries.begin(), Entries.end(),
-                                   [&](const SteeringNode &Node) {
-                                     return Node.Where == Context.Set.FleetAddress;
-                                   });
+  const bool Steered = std::any_of(
+      Entries.begin(), Entries.end(), [&](const SteeringNode &Node) {
+        return Node.Where == Context.Set.FleetAddress;
+      });
   if ((!Steered || Context.Draining.load()) && Request.Hops == 0)
     if (auto Answer = askSteered(Entries, Request))
       return std::move(*Answer);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -58,6 +58,7 @@
       return tl::unexpected<Error>(Listeners.error());
     New->Listeners = std::move(*Listeners);
   }
+  New->Reload = Adapter.Reload;
   New->startThreads(Process.Value, Adapter);
   logEvent(LogLevel::Info, "node " + Set.Id.str() + " has started",
            {{"listen", Set.Listen.str()},
@@ -72,9 +73,8 @@
   this->Threads.emplace_back([this] { this->Gossip->run(); });
   this->Threads.emplace_back([&Shared] { PeerSync(Shared).run(); });
   if (Adapter.ReadConfiguration) {
-    this->Threads.emplace_back([&Shared, Read = Adapter.ReadConfiguration] {
-      Read(Shared);
-    });
+    this->Threads.emplace_back(
+        [&Shared, Read = Adapter.ReadConfiguration] { Read(Shared); });
   } else {
     this->Threads.emplace_back(
         [&Shared, Seed] { PlatformClient(Shared, Seed).watchRecords(); });
@@ -85,6 +85,19 @@
     this->Threads.emplace_back([&Shared, Seed] { Prober(Shared, Seed).run(); });
 }
 
+void Node::reload() {
+  if (!this->Reload) {
+    logEvent(LogLevel::Info, "SIGHUP: this node reads no settings but flags");
+    return;
+  }
+  const auto Read = this->Reload(*this->Context);
+  if (Read)
+    logEvent(LogLevel::Info, "the settings are read anew");
+  else
+    logError(LogLevel::Error, "the settings are refused, the old ones stay",
+             Read.error());
+}
+
 void Node::shutDown() {
   NodeContext &Shared = *this->Context;
   Shared.Draining.store(true);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -23,6 +23,8 @@
                                              const NodeAdapter &Adapter = {});
   ~Node();
 
+  /// Has the adapter read its settings anew.
+  void reload();
   /// Lets go: tells callers to leave, finishes what is in flight, ends.
   void shutDown();
 
@@ -35,6 +37,8 @@
   std::shared_ptr<void> Listeners; ///< The adapter's.
   std::vector<std::thread> Threads;
 
+  std::function<Result<void>(NodeContext &)> Reload;
+
   Node() = default;
   void startThreads(std::uint64_t Seed, const NodeAdapter &Adapter);
 };
--- a/src/node/node_adapter.h
+++ b/src/node/node_adapter.h
@@ -15,6 +15,9 @@
   /// Reads the configuration until the node stops; if empty, the node reads
   /// the project's own configuration service.
   std::function<void(NodeContext &)> ReadConfiguration;
+  /// Reads the settings anew after SIGHUP; empty if there are none to read.
+  /// \returns what is wrong with them, in which case the old ones stay.
+  std::function<Result<void>(NodeContext &)> Reload;
   /// Starts further listeners. \returns what keeps them open.
   std::function<Result<std::shared_ptr<void>>(NodeContext &)> StartListeners;
 };
--- a/src/node/prober.cpp
+++ b/src/node/prober.cpp
@@ -55,8 +55,8 @@
 void Prober::probe(const ServiceView &Service, const TargetView &Target) {
   const Instant Started = bootNow();
   Target.Gauge->Pool.expire(Started);
-  const auto Answer = getOnce(Target.Spec.Where, Service.Record.HealthPath, MaxHealthBytes,
-                              Started + config::ProbeTimeout);
+  const auto Answer = getOnce(Target.Spec.Where, Service.Record.HealthPath,
+                              MaxHealthBytes, Started + config::ProbeTimeout);
   Observation Seen = {Service.Record.Name, Target.Spec.Id, Evidence::Success,
                       bootNow() - Started, bootNow(),      true};
   if (!Answer)
--- a/src/node/refusal.cpp
+++ b/src/node/refusal.cpp
@@ -1,14 +1,29 @@
 #include "node/refusal.h"
+#include "core/random.h"
+#include "net/boot_time.h"
+#include "siskinstage/config.h"
 
 #include <json/value.h>
 #include <json/writer.h>
 
 namespace siskinstage {
 
+Duration spreadRetryAfter() {
+  thread_local Random Dice(
+      static_cast<std::uint64_t>(bootNow().time_since_epoch().count()));
+  const Duration Span = config::RetryAfterMost - config::RetryAfterLeast;
+  return config::RetryAfterLeast +
+         std::chrono::duration_cast<Duration>(Span * Dice.unit());
+}
+
 const char *retryAdvice(const Refusal &Refused, bool Keyed) {
   if (Refused.What == Outcome::Unknown)
     return Keyed ? "resend with the same key" : "ask before sending again";
-  if (Refused.Status >= 400 && Refused.Status < 500 && Refused.Status != 429)
+  // 501 and 505 name what the request asks for, which no repetition mends.
+  const bool Later = Refused.Status == 408 || Refused.Status == 429 ||
+                     Refused.Status == 502 || Refused.Status == 503 ||
+                     Refused.Status == 504;
+  if (!Later)
     return "correct the request";
   return Keyed ? "send with a new key" : "send again later";
 }
--- a/src/node/refusal.h
+++ b/src/node/refusal.h
@@ -18,6 +18,10 @@
   std::optional<Duration> RetryAfter;
 };
 
+/// A time to come back, spread so that callers refused together do not return
+/// together.
+Duration spreadRetryAfter();
+
 /// Advice to the caller that goes with a refusal: what it may send again.
 const char *retryAdvice(const Refusal &Refused, bool Keyed);
 
--- a/src/node/request_flow.cpp
+++ b/src/node/request_flow.cpp
@@ -70,8 +70,11 @@
 
 void RequestFlow::refuse(int Status, Outcome What, Step Where, std::string Peer,
                          std::string Reason) {
+  std::optional<Duration> RetryAfter;
+  if (Status == 503 && What == Outcome::NotRun)
+    RetryAfter = spreadRetryAfter();
   this->refuse(Refusal{
-      Status, What, {Where, std::move(Peer), std::move(Reason)}, std::nullopt});
+      Status, What, {Where, std::move(Peer), std::move(Reason)}, RetryAfter});
 }
 
 void RequestFlow::refuseBody(const ReadFault &Fault) {
@@ -352,8 +355,8 @@
                config::MaxDeadline);
   this->Deadline = this->Request.Arrived + Limit;
   if (this->Limits.Timeout > Millis::zero())
-    this->Deadline = std::min(this->Deadline,
-                              this->Request.Arrived + this->Limits.Timeout);
+    this->Deadline =
+        std::min(this->Deadline, this->Request.Arrived + this->Limits.Timeout);
   DispatchOrder Order;
   Order.Limits = this->Limits;
   Order.Request = &this->Request;
@@ -399,10 +402,10 @@
 
 void RequestFlow::logAnswer(DispatchedAnswer &Answer) const {
   const TargetView &Target = Answer.Lease.target();
-  const auto Took = std::chrono::duration_cast<Millis>(bootNow() -
-                                                       this->Request.Arrived);
-  logEvent(LogLevel::Debug, "request " + this->Request.Id.str() +
-                                " is answered",
+  const auto Took =
+      std::chrono::duration_cast<Millis>(bootNow() - this->Request.Arrived);
+  logEvent(LogLevel::Debug,
+           "request " + this->Request.Id.str() + " is answered",
            {{"status", std::to_string(Answer.Exchange->answer().Status)},
             {"service", this->Service->Record.Name.str()},
             {"target", Target.Spec.Id.str()},
--- a/src/node/service_gate.cpp
+++ b/src/node/service_gate.cpp
@@ -31,8 +31,7 @@
 
 /// Slots of a target that this node may use now.
 std::uint32_t usableSlots(const ServiceView &View, const TargetView &Target) {
-  const double Usable =
-      std::ceil(slotsOf(View, Target) * Target.Verdict.Share);
+  const double Usable = std::ceil(slotsOf(View, Target) * Target.Verdict.Share);
   return static_cast<std::uint32_t>(std::max(1.0, Usable));
 }
 
@@ -68,7 +67,8 @@
 
 ServiceGate::ServiceGate(ServiceName Name, std::uint64_t Seed)
     : Name(std::move(Name)), How(makePolicy(RoutingPolicy::TwoChoices)),
-      Dice(Seed), Budget(config::RetryBudgetFraction, config::RetryBudgetBurst) {}
+      Dice(Seed),
+      Budget(config::RetryBudgetFraction, config::RetryBudgetBurst) {}
 
 void ServiceGate::configure(RoutingPolicy Policy, const RetryShare &Retries) {
   const std::lock_guard<std::mutex> Guard(this->Lock);
@@ -103,8 +103,7 @@
       continue;
     }
     Candidates.push_back({I, InFlight, Each.Gauge->load(Now),
-                          slotsOf(View, Each),
-                          isNear(Each, Order),
+                          slotsOf(View, Each), isNear(Each, Order),
                           handicapOf(Each, Order, InFlight, Now)});
   }
   const auto Chosen = pick(this->How, Candidates, this->Dice);
@@ -132,7 +131,8 @@
 tl::expected<TargetLease, ServiceGate::Refusal>
 ServiceGate::enter(const SnapshotHolder &Snapshots,
                    const PlacementOrder &Order) {
-  const Instant Limit = std::min(Order.Deadline, bootNow() + config::MaxQueueWait);
+  const Instant Limit =
+      std::min(Order.Deadline, bootNow() + config::MaxQueueWait);
   std::unique_lock<std::mutex> Guard(this->Lock);
   bool Queued = false;
   while (true) {
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -174,8 +174,8 @@
                        ? Read.Listen
                        : readAddress("advertise", Advertise, Faults);
   const std::string Fleet = absl::GetFlag(FLAGS_fleet_listen);
-  Read.FleetListen = Fleet.empty() ? Read.Listen
-                                   : readAddress("fleet_listen", Fleet, Faults);
+  Read.FleetListen =
+      Fleet.empty() ? Read.Listen : readAddress("fleet_listen", Fleet, Faults);
   Read.FleetAddress = Fleet.empty() ? Read.Advertise : Read.FleetListen;
   Read.OperatorListen = readAddress(
       "operator_listen", absl::GetFlag(FLAGS_operator_listen), Faults);
@@ -199,15 +199,15 @@
   Read.EntriesPerDomain = static_cast<std::size_t>(
       readNumber("entries_per_domain", absl::GetFlag(FLAGS_entries_per_domain),
                  0, 64, Faults));
-  Read.ProbePeriod = Millis(
-      readNumber("probe_period_ms", absl::GetFlag(FLAGS_probe_period_ms), 0,
-                 600'000, Faults));
-  Read.AcceptLinger = Millis(
-      readNumber("accept_linger_ms", absl::GetFlag(FLAGS_accept_linger_ms), 0,
-                 60'000, Faults));
-  Read.ShutdownLimit = Millis(
-      readNumber("shutdown_limit_ms", absl::GetFlag(FLAGS_shutdown_limit_ms),
-                 0, 600'000, Faults));
+  Read.ProbePeriod =
+      Millis(readNumber("probe_period_ms", absl::GetFlag(FLAGS_probe_period_ms),
+                        0, 600'000, Faults));
+  Read.AcceptLinger = Millis(readNumber("accept_linger_ms",
+                                        absl::GetFlag(FLAGS_accept_linger_ms),
+                                        0, 60'000, Faults));
+  Read.ShutdownLimit = Millis(readNumber("shutdown_limit_ms",
+                                         absl::GetFlag(FLAGS_shutdown_limit_ms),
+                                         0, 600'000, Faults));
   Read.How = readChoice<Detector>("detector", absl::GetFlag(FLAGS_detector),
                                   {{"group", Detector::Group},
                                    {"own", Detector::OwnOnly},
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -32,8 +32,8 @@
   LogLevel Level = LogLevel::Info;
   LogFormat Format = LogFormat::KeyValue;
   Detector How = Detector::Group;
-  Millis ReadyWait{};     ///< Longest wait for the platform before serving.
-  Dialect Speak;          ///< Header names towards callers and targets.
+  Millis ReadyWait{}; ///< Longest wait for the platform before serving.
+  Dialect Speak;      ///< Header names towards callers and targets.
   /// Entries of each failure domain that callers are steered to; zero to steer
   /// by service groups.
   std::size_t EntriesPerDomain = 0;
--- a/src/node/target_exchange.cpp
+++ b/src/node/target_exchange.cpp
@@ -19,8 +19,7 @@
 
 /// Requests running and waiting, from "running,waiting,slots".
 std::optional<unsigned> loadOf(const std::string &Text) {
-  const Poco::StringTokenizer Parts(Text, ",",
-                                    Poco::StringTokenizer::TOK_TRIM);
+  const Poco::StringTokenizer Parts(Text, ",", Poco::StringTokenizer::TOK_TRIM);
   unsigned Running = 0;
   unsigned Waiting = 0;
   if (Parts.count() != 3 ||
--- a/tests/unit/fleet_share_test.cpp
+++ b/tests/unit/fleet_share_test.cpp
@@ -12,9 +12,8 @@
 Member member(const std::string &Domain, int Number) {
   Member Each;
   Each.Domain = FailureDomain(Domain);
-  Each.Where =
-      Address("10.0." + std::to_string(Domain.back() - 'a') + "." +
-              std::to_string(Number) + ":80");
+  Each.Where = Address("10.0." + std::to_string(Domain.back() - 'a') + "." +
+                       std::to_string(Number) + ":80");
   return Each;
 }
 
@@ -36,8 +35,8 @@
 
 TEST(NewsSpread, AWatcherTellsItsDomainAndOneOfEachOther) {
   Random Dice(1);
-  const auto To = newsRecipients(members(8), member("a", 1),
-                                 NewsSource::Platform, Dice);
+  const auto To =
+      newsRecipients(members(8), member("a", 1), NewsSource::Platform, Dice);
   EXPECT_EQ(countIn(To, 0), 7U);
   for (int Domain = 1; Domain < 4; ++Domain)
     EXPECT_EQ(countIn(To, Domain), 1U);
@@ -45,23 +44,23 @@
 
 TEST(NewsSpread, NewsFromAnotherDomainStaysInTheOwn) {
   Random Dice(1);
-  const auto To = newsRecipients(members(8), member("a", 1),
-                                 NewsSource::OtherDomain, Dice);
+  const auto To =
+      newsRecipients(members(8), member("a", 1), NewsSource::OtherDomain, Dice);
   EXPECT_EQ(To.size(), 7U);
   EXPECT_EQ(countIn(To, 0), 7U);
 }
 
 TEST(NewsSpread, NewsOfTheOwnDomainEndsThere) {
   Random Dice(1);
-  EXPECT_TRUE(newsRecipients(members(8), member("a", 1), NewsSource::OwnDomain,
-                             Dice)
-                  .empty());
+  EXPECT_TRUE(
+      newsRecipients(members(8), member("a", 1), NewsSource::OwnDomain, Dice)
+          .empty());
 }
 
 TEST(NewsSpread, ALargeDomainPassesNewsOnInSteps) {
   Random Dice(1);
-  const auto To = newsRecipients(members(200), member("a", 1),
-                                 NewsSource::OwnDomain, Dice);
+  const auto To =
+      newsRecipients(members(200), member("a", 1), NewsSource::OwnDomain, Dice);
   EXPECT_EQ(To.size(), config::NewsFanout);
 }
 
@@ -77,7 +76,8 @@
     const std::size_t Entries = std::min<std::size_t>(8, Live);
     double Sum = 0;
     for (std::size_t I = 0; I < Live; ++I) {
-      const RetryShare Share = retryShare(fleet(), {Live, Entries, I < Entries});
+      const RetryShare Share =
+          retryShare(fleet(), {Live, Entries, I < Entries});
       // All nodes may restart within the window.
       Sum += Share.Burst + Share.Start;
     }
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -44,10 +44,10 @@
   std::map<std::uint32_t, int> Chosen;
   constexpr int Draws = 3000;
   for (int I = 0; I < Draws; ++I)
-    ++Chosen[*pick(How,
-                   {candidate(0, 0, true), candidate(1, 0, true),
-                    candidate(2, 0, true)},
-                   Dice)];
+    ++Chosen[*pick(
+        How,
+        {candidate(0, 0, true), candidate(1, 0, true), candidate(2, 0, true)},
+        Dice)];
   for (const auto &[Index, Count] : Chosen)
     EXPECT_NEAR(Count, Draws / 3, Draws / 20);
 }
@@ -60,6 +60,15 @@
   EXPECT_EQ(pickDomainFirst(Candidates), 1U);
 }
 
+TEST(PickDomainFirst, ALargeBodyLeavesItsDomainForAFreeSlotOnly) {
+  std::vector<Candidate> Candidates = {candidate(0, 0, false),
+                                       candidate(1, 2, true)};
+  Candidates[0].Handicap = config::LargeBodyHandicap;
+  EXPECT_EQ(pickDomainFirst(Candidates), 1U);
+  Candidates[1].InFlight = 4; // All three slots are taken.
+  EXPECT_EQ(pickDomainFirst(Candidates), 0U);
+}
+
 TEST(Doubt, EndsWithOneTrialAtATime) {
   const Doubt Hanging = {2, at(1000)};
   const Instant Later = at(1000) + doubtLength(2);
--- a/tests/unit/platform_translation_test.cpp
+++ b/tests/unit/platform_translation_test.cpp
@@ -1,6 +1,7 @@
 #include "core/record_parser.h"
 #include "core/route_table.h"
 #include "platform/record_translation.h"
+#include "platform/settings_file.h"
 
 #include <gtest/gtest.h>
 
@@ -69,9 +70,8 @@
       {"\"slots\":3", "\"slots\":\"3\""},
       {"1.5", "\"soon\""},
       {"\"details\":{", "\"other\":{"}};
-  const std::string Fields[] = {"status.state", "details.zone",
-                                "details.slots", "status.warmup-left-s",
-                                "details"};
+  const std::string Fields[] = {"status.state", "details.zone", "details.slots",
+                                "status.warmup-left-s", "details"};
   for (std::size_t I = 0; I < std::size(Changes); ++I) {
     std::string Text = GoodServer;
     Text.replace(Text.find(Changes[I].first), Changes[I].first.size(),
@@ -136,6 +136,19 @@
   EXPECT_FALSE(fleetRecord("retry-burst=many"));
 }
 
+TEST(PlatformSettings, AChangedFileIsCheckedByField) {
+  const auto Good =
+      readChangedSettings(R"({"seeds":["10.0.0.1:80"],"other":1})");
+  ASSERT_TRUE(Good);
+  EXPECT_EQ(Good->Seeds, std::vector<Address>{Address("10.0.0.1:80")});
+  for (const char *Bad : {"{}", R"({"seeds":["x"]})", R"({"seeds":[1]})"}) {
+    const auto Read = readChangedSettings(Bad);
+    ASSERT_FALSE(Read) << Bad;
+    EXPECT_EQ(Read.error().Peer, "seeds");
+  }
+  EXPECT_FALSE(readChangedSettings("{"));
+}
+
 TEST(PlatformTranslation, ItemsAreBase64) {
   Json::Value Wire(Json::objectValue);
   Wire["key"] = "servers/a";
--- /dev/null
+++ b/tests/unit/refusal_test.cpp
@@ -0,0 +1,51 @@
+#include "node/refusal.h"
+
+#include <gtest/gtest.h>
+#include <string>
+
+namespace siskinstage {
+namespace {
+
+/// What a caller without a key is told after a refusal.
+struct Advice {
+  int Status;
+  Outcome What;
+  const char *Expected;
+};
+
+TEST(Refusal, AdviceFitsItsCause) {
+  constexpr Advice Table[] = {
+      {400, Outcome::NotRun, "correct the request"},
+      {404, Outcome::NotRun, "correct the request"},
+      {408, Outcome::NotRun, "send again later"},
+      {413, Outcome::NotRun, "correct the request"},
+      {422, Outcome::NotRun, "correct the request"},
+      {429, Outcome::NotRun, "send again later"},
+      {431, Outcome::NotRun, "correct the request"},
+      {501, Outcome::NotRun, "correct the request"},
+      {502, Outcome::Unknown, "ask before sending again"},
+      {503, Outcome::NotRun, "send again later"},
+      {504, Outcome::Unknown, "ask before sending again"},
+      {505, Outcome::NotRun, "correct the request"},
+  };
+  for (const Advice &Each : Table)
+    EXPECT_EQ(std::string(retryAdvice(
+                  {Each.Status, Each.What, {}, std::nullopt}, false)),
+              Each.Expected)
+        << Each.Status;
+}
+
+TEST(Refusal, TimesToComeBackAreSpread) {
+  const Duration First = spreadRetryAfter();
+  bool Differs = false;
+  for (int I = 0; I < 20; ++I) {
+    const Duration Next = spreadRetryAfter();
+    Differs = Differs || Next != First;
+    EXPECT_GT(Next, Duration::zero());
+    EXPECT_LT(Next, std::chrono::seconds(1));
+  }
+  EXPECT_TRUE(Differs);
+}
+
+} // namespace
+} // namespace siskinstage
