--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -95,6 +95,10 @@
 inline constexpr std::size_t EntriesPerAccount = 4;
 /// One node of a service's group for this many slots of its targets.
 inline constexpr std::size_t SlotsPerGroupNode = 5;
+/// In a failure domain of more nodes than this, callers are steered to one of
+/// so many of them: the traffic of a large domain is too much for one node.
+inline constexpr std::size_t LargeDomainNodes = 16;
+inline constexpr std::size_t NodesPerEntry = 4;
 inline constexpr std::chrono::milliseconds EntriesForwardTimeout = 300ms;
 inline constexpr std::size_t RelayPeersTried = 2;
 inline constexpr int MaxForwardHops = 2;
@@ -182,7 +186,7 @@
 inline constexpr int GossipRepeats = 4;
 /// A suspicion lasts at least this many periods times that logarithm.
 inline constexpr double SuspicionFactor = 1.2;
-inline constexpr int SuspicionStretch = 3;
+inline constexpr int SuspicionStretch = 2;
 inline constexpr int SuspicionConfirmations = 3;
 inline constexpr int MaxSlowness = 4;
 inline constexpr std::size_t FarewellMessages = 8;
--- a/src/core/steering.cpp
+++ b/src/core/steering.cpp
@@ -66,8 +66,18 @@
 
 std::vector<SteeringNode> domainEntries(const std::vector<SteeringNode> &Nodes,
                                         std::size_t PerDomain) {
-  return serviceGroup(Nodes, ServiceName("entries of a failure domain"),
-                      PerDomain);
+  std::vector<SteeringNode> Entries;
+  for (auto &[Domain, Members] :
+       sortedByDomain(Nodes, "entries of a failure domain")) {
+    const std::size_t Wanted =
+        Members.size() > config::LargeDomainNodes
+            ? std::max(PerDomain, Members.size() / config::NodesPerEntry)
+            : PerDomain;
+    const std::size_t Taken = std::min(Wanted, Members.size());
+    Entries.insert(Entries.end(), Members.begin(),
+                   Members.begin() + static_cast<std::ptrdiff_t>(Taken));
+  }
+  return Entries;
 }
 
 std::vector<SteeringNode> accountEntries(const std::vector<SteeringNode> &Group,
--- a/src/core/steering.h
+++ b/src/core/steering.h
@@ -33,7 +33,7 @@
                                        std::size_t PerDomain);
 
 /// The entries that serve all services: in each failure domain the
-/// \p PerDomain nodes of the highest weight.
+/// \p PerDomain nodes of the highest weight, more in a large domain.
 std::vector<SteeringNode> domainEntries(const std::vector<SteeringNode> &Nodes,
                                         std::size_t PerDomain);
 
--- a/tests/unit/fleet_share_test.cpp
+++ b/tests/unit/fleet_share_test.cpp
@@ -1,6 +1,7 @@
 #include "core/news_spread.h"
 #include "core/retry_budget.h"
 #include "core/retry_share.h"
+#include "core/steering.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
@@ -64,6 +65,37 @@
   EXPECT_EQ(To.size(), config::NewsFanout);
 }
 
+std::vector<SteeringNode> steered(int PerDomain) {
+  std::vector<SteeringNode> Nodes;
+  for (const Member &Each : members(PerDomain))
+    Nodes.push_back({NodeId(Each.Where.str()), Each.Where, Each.Domain});
+  return Nodes;
+}
+
+TEST(DomainEntries, EachSmallDomainHasAsManyAsAsked) {
+  EXPECT_EQ(domainEntries(steered(8), 1).size(), 4U);
+  EXPECT_EQ(domainEntries(steered(8), 2).size(), 8U);
+  EXPECT_EQ(domainEntries(steered(1), 3).size(), 4U);
+}
+
+TEST(DomainEntries, ALargeDomainHasMore) {
+  EXPECT_EQ(domainEntries(steered(40), 1).size(),
+            4 * 40 / config::NodesPerEntry);
+}
+
+TEST(DomainEntries, ALostEntryMovesNoOther) {
+  auto Nodes = steered(8);
+  const auto Before = domainEntries(Nodes, 1);
+  std::erase_if(Nodes, [&](const SteeringNode &Each) {
+    return Each.Where == Before.front().Where;
+  });
+  const auto After = domainEntries(Nodes, 1);
+  ASSERT_EQ(After.size(), Before.size());
+  EXPECT_NE(After.front().Where, Before.front().Where);
+  for (std::size_t I = 1; I < Before.size(); ++I)
+    EXPECT_EQ(After[I].Where, Before[I].Where);
+}
+
 FleetRecord fleet() {
   FleetRecord Fleet;
   Fleet.RetryBudget = 0.2;
