--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -62,13 +62,10 @@
                                std::string Reason) {
   const Outcome What = this->MayHaveRun ? Outcome::Unknown : Outcome::NotRun;
   std::optional<Duration> RetryAfter;
-  if (this->Context.Set.Speak.StatusPromises) {
-    Status = What == Outcome::NotRun ? 503 : std::max(Status, 502);
-    if (What == Outcome::Unknown && Status == 503)
-      Status = 502;
-    if (What == Outcome::NotRun)
-      RetryAfter = spreadRetryAfter();
-  }
+  if (this->Context.Set.Speak.StatusPromises)
+    Status = truthfulStatus(Status, What);
+  if (Status == 503 && What == Outcome::NotRun)
+    RetryAfter = spreadRetryAfter();
   return Refusal{
       Status, What, {Where, std::move(Peer), std::move(Reason)}, RetryAfter};
 }
--- a/src/node/refusal.cpp
+++ b/src/node/refusal.cpp
@@ -8,6 +8,15 @@
 
 namespace siskinstage {
 
+int truthfulStatus(int Status, Outcome What) {
+  constexpr int NotRun = 503;
+  constexpr int Failed = 502;
+  constexpr int TimedOut = 504;
+  if (What == Outcome::NotRun)
+    return NotRun;
+  return Status == TimedOut ? TimedOut : Failed;
+}
+
 Duration spreadRetryAfter() {
   thread_local Random Dice(
       static_cast<std::uint64_t>(bootNow().time_since_epoch().count()));
--- a/src/node/refusal.h
+++ b/src/node/refusal.h
@@ -18,6 +18,10 @@
   std::optional<Duration> RetryAfter;
 };
 
+/// The status for an outcome where 503 promises that nothing was run, and 502
+/// and 504 promise nothing.
+int truthfulStatus(int Status, Outcome What);
+
 /// A time to come back, spread so that callers refused together do not return
 /// together.
 Duration spreadRetryAfter();
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -59,6 +59,15 @@
 
 namespace siskinstage {
 
+Address readAddress(const std::string &Name, const std::string &Value,
+                    std::vector<Error> &Faults) {
+  if (!parseAddress(Value))
+    Faults.push_back(
+        {Step::Settings, Name,
+         "found \"" + Value + "\", allowed is an IPv4 address and port"});
+  return Address(Value);
+}
+
 namespace {
 
 constexpr const char *UsageText =
@@ -90,15 +99,6 @@
                                         "log_level",
                                         "log_format"};
 
-Address readAddress(const std::string &Name, const std::string &Value,
-                    std::vector<Error> &Faults) {
-  if (!parseAddress(Value))
-    Faults.push_back(
-        {Step::Settings, Name,
-         "found \"" + Value + "\", allowed is an IPv4 address and port"});
-  return Address(Value);
-}
-
 std::vector<Address> readSeeds(const std::string &Text,
                                std::vector<Error> &Faults) {
   std::vector<Address> Seeds;
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -51,6 +51,10 @@
 Settings readSettings(int Argc, char **Argv, std::vector<Error> &Faults,
                       const std::vector<std::string> &More = {});
 
+/// The address that the setting \p Name holds; a fault names it.
+Address readAddress(const std::string &Name, const std::string &Value,
+                    std::vector<Error> &Faults);
+
 /// "name=value" lines of all settings, with secrets left out.
 std::string printedSettings();
 
--- a/tests/unit/refusal_test.cpp
+++ b/tests/unit/refusal_test.cpp
@@ -35,6 +35,14 @@
         << Each.Status;
 }
 
+TEST(Refusal, AStatusThatPromisesIsTrue) {
+  for (const int Status : {408, 421, 429, 500, 502, 503, 504}) {
+    EXPECT_EQ(truthfulStatus(Status, Outcome::NotRun), 503);
+    EXPECT_EQ(truthfulStatus(Status, Outcome::Unknown),
+              Status == 504 ? 504 : 502);
+  }
+}
+
 TEST(Refusal, TimesToComeBackAreSpread) {
   const Duration First = spreadRetryAfter();
   bool Differs = false;
