--- a/src/node/caller_request.cpp
+++ b/src/node/caller_request.cpp
@@ -103,7 +103,7 @@
 }
 
 HttpResult<void> readOwnHeaders(CallerRequest &Request, const Dialect &Speak) {
-  const auto TimeLeft = singleNumber(Request.Head, Speak.Deadline, 0,
+  const auto TimeLeft = singleNumber(Request.Head, Speak.Deadline, 1,
                                      config::MaxDeadline.count());
   if (!TimeLeft)
     return tl::unexpected<HttpRefusal>(TimeLeft.error());
