A gray spell costs one request: longer doubt after silence, shared, one trial

Each of the four entries lost one request a spell of its own at doubt 0, then one more every two seconds in trials: the doubt was as short for silence as for an answered failure, one success (one in four comes during a spell) cleared it, and each entry tried by itself. Ruled out: detection time.

Change: units of doubt; silence four (six seconds), an answered failure one; a success takes one back, the late answer of an overdue request all four. Reports carry the units. After the doubt one node of the group, by rendezvous, tries first. Unfinished requests count by their age (core/suspicion). An overdue request is given up for a sound target with room, or at the last moment at which another try can end in time, in place of at once.

--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -113,10 +113,13 @@
 /// A work is slow from this many times the service's high latency on.
 inline constexpr double SlowFactorFast = 3.0;
 inline constexpr double SlowFactorCareful = 5.0;
-/// A request is overdue, and another try may be made, from this many times the
-/// service's high latency on: about its ninety-eighth percentile.
-inline constexpr double OverdueFactorFast = 1.5;
-inline constexpr double OverdueFactorCareful = 1.8;
+/// A request is overdue, and another try may be made, at the age that this part
+/// of a sound target's requests reach.
+inline constexpr double OverdueChanceFast = 0.1;
+inline constexpr double OverdueChanceCareful = 0.05;
+/// Whether an overdue request had better go elsewhere is asked again so often:
+/// a slot comes free in less than a usual request.
+inline constexpr std::chrono::milliseconds OverduePollPeriod = 100ms;
 inline constexpr std::chrono::milliseconds SlowMinimum = 50ms;
 /// A request that waits for so long counts as a failure before its end.
 inline constexpr std::chrono::milliseconds OverdueMinimum = 300ms;
@@ -125,17 +128,39 @@
 /// A target stays marked as leaving for this long after its last such sign.
 inline constexpr std::chrono::milliseconds LeavingMemory = 10s;
 inline constexpr std::chrono::milliseconds FirstEjection = 2s;
-/// For each failure that counts, other targets are preferred for so long: a
-/// gray spell lasts several seconds, and one failure alone may be chance.
-inline constexpr std::chrono::milliseconds DoubtStep = 2s;
-/// The most failures that count: their doubt lasts as long as a gray spell.
-inline constexpr std::uint32_t MaxDoubt = 4;
+/// Other targets are preferred for so long for each unit of doubt.
+inline constexpr std::chrono::milliseconds DoubtStep = 1500ms;
+/// Units of a request without an answer in time: a target that hangs does so
+/// for a spell of several seconds, and each trial within it is lost.
+inline constexpr std::uint32_t SilenceDoubt = 4;
+/// Units of any other failure; a sound target fails one request in a hundred.
+inline constexpr std::uint32_t FailureDoubt = 1;
+/// The most units: their doubt lasts as long as a gray spell, nine seconds.
+inline constexpr std::uint32_t MaxDoubt = 6;
+/// A doubted target is tried by one node first. The others wait so much longer:
+/// a usual request and the news of its end.
+inline constexpr std::chrono::milliseconds TrialHandover = 1500ms;
+/// Time after a doubt in which the handicap of a trial wears off.
+inline constexpr std::chrono::milliseconds TrialFade = 3s;
 /// Handicap of a doubted target, in loads of all its slots: more than any
 /// target that is not doubted can have.
 inline constexpr double DoubtHandicap = 2.0;
 /// Handicap at the end of the doubt for work that must not run twice: others
 /// try the target first.
 inline constexpr double TrialHandicap = 0.5;
+/// Chance that a target hangs when nothing is known of it: in a fleet with gray
+/// failures a few in a hundred do at any moment, unnoticed.
+inline constexpr double HangPrior = 0.05;
+/// Part of its requests that a hanging target never answers.
+inline constexpr double HungShare = 0.75;
+/// Lowest chance that a request of a sound target is taken to have of being
+/// unfinished: one in a hundred takes several times as long as usual.
+inline constexpr double LeastUnfinishedChance = 0.01;
+/// A target with a lower handicap counts as sound: it hangs with less than an
+/// even chance.
+inline constexpr double SoundHandicap = DoubtHandicap / 2;
+/// Handicap of a target that hangs for certain, in loads of all its slots.
+inline constexpr double HangHandicap = DoubtHandicap;
 /// Successes of a service whose latencies are kept together.
 inline constexpr std::size_t PooledLatencies = 64;
 /// The quantile that counts as a high latency.
@@ -149,7 +174,12 @@
 inline constexpr std::chrono::milliseconds DecisionPeriod = 50ms;
 /// The decision thread's longest wait for news.
 inline constexpr std::chrono::milliseconds DecisionRest = 500ms;
-inline constexpr std::size_t ObservationRingSize = 8192;
+/// At the design size a node serves 280 requests a second: three seconds of
+/// them, where the decision thread empties the ring in a tenth of one.
+inline constexpr std::size_t ObservationRingSize = 1024;
+/// Orders and news between threads: one for each member of a large domain and
+/// as many again.
+inline constexpr std::size_t UpdateRingSize = 256;
 
 // Probes of targets.
 inline constexpr std::chrono::milliseconds ProbePeriod = 5s;
@@ -213,7 +243,9 @@
 inline constexpr std::size_t MaxInlineRecordBytes = 700;
 inline constexpr std::chrono::milliseconds RecordSyncPeriod = 1s;
 inline constexpr std::size_t DigestBuckets = 256;
-inline constexpr std::chrono::milliseconds PeerCallTimeout = 2s;
+/// Ten round trips between regions: a peer that takes longer is paused or cut
+/// off, and another one is asked within the time for a new configuration.
+inline constexpr std::chrono::milliseconds PeerCallTimeout = 700ms;
 /// A node that has compared with peers in this many failure domains knows
 /// enough to serve.
 inline constexpr std::size_t ReadyDomains = 2;
--- a/src/core/detection_limits.h
+++ b/src/core/detection_limits.h
@@ -13,9 +13,9 @@
   std::uint32_t ConsecutiveFailures = 0;
   double FailureFraction = 0;
   double SlowFactor = 0;
-  /// A request without an answer is overdue from this many times the service's
-  /// high latency on.
-  double OverdueFactor = 0;
+  /// A request is overdue at the age that this part of them reach at a sound
+  /// target.
+  double OverdueChance = 0;
   std::size_t Reporters = 0; ///< Nodes whose reports suffice together.
   std::size_t Verdicts = 0;  ///< Nodes whose ejections suffice together.
 
--- a/src/core/doubt.cpp
+++ b/src/core/doubt.cpp
@@ -5,18 +5,41 @@
 
 namespace siskinstage {
 
-Duration doubtLength(std::uint32_t Failures) {
-  return config::DoubtStep * std::min(Failures, config::MaxDoubt);
+namespace {
+
+/// What is left of a trial's handicap so long after the doubt.
+double fadingHandicap(Duration Since) {
+  const double Passed =
+      static_cast<double>(Since.count()) /
+      static_cast<double>(Duration(config::TrialFade).count());
+  return config::TrialHandicap * std::max(0.0, 1.0 - Passed);
+}
+
+} // namespace
+
+std::uint32_t doubtAfter(std::uint32_t Units, Evidence What, bool Failed) {
+  const bool Silent = What == Evidence::Overdue || What == Evidence::Timeout;
+  const std::uint32_t Weight =
+      Silent ? config::SilenceDoubt : config::FailureDoubt;
+  if (Failed)
+    return std::min(Units + Weight, config::MaxDoubt);
+  const std::uint32_t Relief =
+      What == Evidence::LateSuccess ? config::SilenceDoubt : 1;
+  return Units - std::min(Units, Relief);
+}
+
+Duration doubtLength(std::uint32_t Units) {
+  return config::DoubtStep * std::min(Units, config::MaxDoubt);
 }
 
 double doubtHandicap(const Doubt &Of, std::uint32_t InFlight,
                      Repeatability Kind, Instant Now) {
-  if (Of.Failures == 0)
+  if (Of.Units == 0)
     return 0;
-  const bool Fresh = Now - Of.Last < doubtLength(Of.Failures);
-  if (Fresh || InFlight > 0)
+  const Duration Since = Now - Of.Last - doubtLength(Of.Units) - Of.TrialDelay;
+  if (Since < Duration::zero() || InFlight > 0)
     return config::DoubtHandicap;
-  return Kind == Repeatability::Repeatable ? 0 : config::TrialHandicap;
+  return Kind == Repeatability::Repeatable ? 0 : fadingHandicap(Since);
 }
 
 } // namespace siskinstage
--- a/src/core/doubt.h
+++ b/src/core/doubt.h
@@ -1,6 +1,7 @@
 #ifndef SISKINSTAGE_CORE_DOUBT_H
 #define SISKINSTAGE_CORE_DOUBT_H
 
+#include "core/observation.h"
 #include "core/repeatability.h"
 #include "siskinstage/units.h"
 
@@ -8,14 +9,19 @@
 
 namespace siskinstage {
 
-/// Failures of a target that no success has followed.
+/// Failures of a target that successes have not made up for.
 struct Doubt {
-  std::uint32_t Failures = 0;
-  Instant Last; ///< When the last one was seen.
+  std::uint32_t Units = 0;
+  Instant Last;          ///< When the last failure was seen.
+  Duration TrialDelay{}; ///< How much later than another node this one tries.
 };
 
-/// How long other targets are preferred after \p Failures failures.
-Duration doubtLength(std::uint32_t Failures);
+/// The units after one more observation. Silence weighs more than a failure
+/// that was answered, and an answer that came late takes its silence back.
+std::uint32_t doubtAfter(std::uint32_t Units, Evidence What, bool Failed);
+
+/// How long other targets are preferred for \p Units.
+Duration doubtLength(std::uint32_t Units);
 
 /// The handicap of a doubted target when one is chosen, for targets that hang
 /// most of their work for seconds behind a good health check: they are passed
--- a/src/core/gossip_codec.cpp
+++ b/src/core/gossip_codec.cpp
@@ -59,6 +59,7 @@
     this->Into["t"] = Body.Target.str();
     this->Into["w"] = static_cast<int>(Body.What);
     this->Into["s"] = Body.Streak;
+    this->Into["o"] = Body.Doubt;
   }
   void operator()(const CrashNews &Body) const {
     this->Into["k"] = "crash";
@@ -95,9 +96,12 @@
     return bad("w");
   if (!Value["s"].isUInt())
     return bad("s");
-  return TargetReport{
-      ServiceName(Value["v"].asString()), TargetId(Value["t"].asString()),
-      static_cast<ReportKind>(Value["w"].asInt()), Value["s"].asUInt()};
+  if (!Value["o"].isUInt())
+    return bad("o");
+  return TargetReport{ServiceName(Value["v"].asString()),
+                      TargetId(Value["t"].asString()),
+                      static_cast<ReportKind>(Value["w"].asInt()),
+                      Value["s"].asUInt(), Value["o"].asUInt()};
 }
 
 Result<GossipBody> readBody(const Json::Value &Value) {
--- a/src/core/gossip_message.h
+++ b/src/core/gossip_message.h
@@ -44,6 +44,7 @@
   ReportKind What = ReportKind::Failing;
   /// Failures seen there since the last success; 0 takes a report back.
   std::uint32_t Streak = 0;
+  std::uint32_t Doubt = 0; ///< Units, see doubt.h.
 };
 
 /// Tells that a target broke off at a request.
--- a/src/core/observation.h
+++ b/src/core/observation.h
@@ -11,6 +11,7 @@
 /// What one request or probe showed of a target.
 enum class Evidence {
   Success,       ///< A whole answer below 500.
+  LateSuccess,   ///< The same, of a request that was overdue before.
   Failure,       ///< An answer of 500 or above, or a broken one.
   Timeout,       ///< No answer in time.
   Overdue,       ///< Still no answer after much more than the usual time.
--- a/src/core/pick.h
+++ b/src/core/pick.h
@@ -21,6 +21,9 @@
   double Handicap = 0;        ///< For doubts, in loads of all its slots.
 };
 
+/// Whether a candidate has a free slot and probably works.
+bool isSoundWithRoom(const Candidate &Each);
+
 /// Any candidate.
 struct PickRandom {};
 
--- a/src/core/pick_domain_first.cpp
+++ b/src/core/pick_domain_first.cpp
@@ -17,6 +17,11 @@
 
 } // namespace
 
+bool isSoundWithRoom(const Candidate &Each) {
+  return std::max(Each.InFlight, Each.Reported) < Each.Capacity &&
+         Each.Handicap < config::SoundHandicap;
+}
+
 std::uint32_t pickWith(PickDomainFirst & /*How*/,
                        const std::vector<Candidate> &Candidates, Random &Dice) {
   double Least = std::numeric_limits<double>::max();
--- a/src/core/service_health.cpp
+++ b/src/core/service_health.cpp
@@ -57,7 +57,9 @@
     return;
   }
   Found->second.Health.observe(Seen, Limits, this->Usual);
-  if (Seen.What != Evidence::Success || Seen.FromProbe)
+  const bool Answered =
+      Seen.What == Evidence::Success || Seen.What == Evidence::LateSuccess;
+  if (!Answered || Seen.FromProbe)
     return;
   this->Pooled.push_back(Seen.Latency);
   if (this->Pooled.size() > config::PooledLatencies)
@@ -162,12 +164,16 @@
       Each.ReportedEjections = Health.ejections();
       Reports.push_back({this->Record.Name, Id, ReportKind::Ejected, 0});
     }
-    const bool Changed = Health.streak() != Each.ReportedStreak;
+    // The end of a doubt is news too, the single steps to it are not.
+    const bool Changed = Health.streak() != Each.ReportedStreak ||
+                         (Health.ownDoubt() == 0) != (Each.ReportedDoubt == 0);
     if (!Changed || Now - Each.ReportedAt < config::ReportGap)
       continue;
     Each.ReportedStreak = Health.streak();
+    Each.ReportedDoubt = Health.ownDoubt();
     Each.ReportedAt = Now;
-    Reports.push_back({this->Record.Name, Id, Health.kind(), Health.streak()});
+    Reports.push_back({this->Record.Name, Id, Health.kind(), Health.streak(),
+                       Health.ownDoubt()});
   }
   return Reports;
 }
--- a/src/core/service_health.h
+++ b/src/core/service_health.h
@@ -65,6 +65,7 @@
     Incarnation Process;
     bool ListedLeaving = false;
     std::uint32_t ReportedStreak = 0;
+    std::uint32_t ReportedDoubt = 0;
     bool ReportedLeaving = false;
     std::uint32_t ReportedEjections = 0;
     Instant ReportedAt;
--- a/src/core/target_health.cpp
+++ b/src/core/target_health.cpp
@@ -18,6 +18,10 @@
          What == Evidence::Overdue || What == Evidence::ConnectFailed;
 }
 
+bool isSuccess(Evidence What) {
+  return What == Evidence::Success || What == Evidence::LateSuccess;
+}
+
 double inNanoseconds(Duration Length) {
   return static_cast<double>(Length.count());
 }
@@ -25,7 +29,7 @@
 /// The answer took much longer than at the service's other targets.
 bool isSlow(const Observation &Seen, const DetectionLimits &Limits,
             const UsualLatency &Usual) {
-  if (Seen.What != Evidence::Success || Usual.High == Duration::zero())
+  if (!isSuccess(Seen.What) || Usual.High == Duration::zero())
     return false;
   return Seen.Latency >= config::SlowMinimum &&
          inNanoseconds(Seen.Latency) >=
@@ -48,6 +52,8 @@
   switch (What) {
   case Evidence::Success:
     return "success";
+  case Evidence::LateSuccess:
+    return "late success";
   case Evidence::Failure:
     return "failure";
   case Evidence::Timeout:
@@ -79,10 +85,10 @@
 DetectionLimits DetectionLimits::of(DetectionPreference Preference) {
   if (Preference == DetectionPreference::Fast)
     return {config::FastConsecutiveFailures, config::FastFailureFraction,
-            config::SlowFactorFast,          config::OverdueFactorFast,
+            config::SlowFactorFast,          config::OverdueChanceFast,
             config::FastReporters,           config::FastVerdicts};
   return {config::CarefulConsecutiveFailures, config::CarefulFailureFraction,
-          config::SlowFactorCareful,          config::OverdueFactorCareful,
+          config::SlowFactorCareful,          config::OverdueChanceCareful,
           config::CarefulReporters,           config::CarefulVerdicts};
 }
 
@@ -124,15 +130,20 @@
          Seen.At - this->Window.front().At > config::EvidenceAge)
     this->Window.pop_front();
   this->Streak = Failed ? this->Streak + 1 : 0;
-  // One success of a target that fails most of its work proves little.
-  this->Doubt =
-      Failed ? std::min(this->Doubt + 1, config::MaxDoubt) : this->Doubt / 2;
+  this->Doubt = doubtAfter(this->Doubt, Seen.What, Failed);
   if (Failed)
     this->DoubtedAt = Seen.At;
+  else
+    this->relieveReports();
   this->Kind = Seen.What == Evidence::ConnectFailed ? ReportKind::Unreachable
                                                     : ReportKind::Failing;
 }
 
+void TargetHealth::relieveReports() {
+  for (auto &[From, Each] : this->Reports)
+    Each.Doubt -= std::min<std::uint32_t>(Each.Doubt, 1);
+}
+
 void TargetHealth::judge(const Observation &Seen,
                          const DetectionLimits &Limits) {
   const bool OnProbation = this->Now == State::Probation;
@@ -169,7 +180,8 @@
     return;
   }
   this->Reports[Report.From] = Report;
-  if (Report.Streak > 0 && Report.What == ReportKind::Failing)
+  if (Report.Doubt > 0 && Report.Streak > 0 &&
+      Report.What == ReportKind::Failing)
     this->DoubtedAt = Report.At;
   if (this->Now != State::Ejected)
     this->judgeReports(Report.At, Limits, OwnDomain);
@@ -267,13 +279,13 @@
 }
 
 std::uint32_t TargetHealth::doubt(Instant At) const {
-  std::uint32_t Failures = this->Doubt;
+  std::uint32_t Units = this->Doubt;
   for (const auto &[From, Each] : this->Reports)
     // That another node can't reach it says nothing of the path from here.
-    if (At - Each.At <= doubtLength(Each.Streak) &&
+    if (At - Each.At <= doubtLength(Each.Doubt) &&
         Each.What == ReportKind::Failing)
-      Failures += Each.Streak;
-  return Failures;
+      Units += Each.Doubt;
+  return std::min(Units, config::MaxDoubt);
 }
 
 double TargetHealth::failureFraction() const {
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -388,6 +388,17 @@
   return Gauge;
 }
 
+Duration DecisionLoop::trialDelay(const TargetId &Target,
+                                  const std::vector<Address> &Group) const {
+  const std::uint64_t Own =
+      rendezvousWeight(Target.str(), this->Context.Set.FleetAddress.str());
+  const bool First =
+      std::all_of(Group.begin(), Group.end(), [&](const Address &Each) {
+        return rendezvousWeight(Target.str(), Each.str()) <= Own;
+      });
+  return First ? Duration::zero() : Duration(config::TrialHandover);
+}
+
 void DecisionLoop::rebuildService(const ServiceName &Name,
                                   const Held &Service) {
   auto View = std::make_shared<ServiceView>();
@@ -397,7 +408,8 @@
   View->High = Service.Usual.High;
   for (std::size_t I = 0; I < Service.Verdicts.size(); ++I) {
     const TargetSpec &Spec = View->Record.Targets[I];
-    View->Targets.push_back({Spec, Service.Verdicts[I], this->gaugeOf(Spec)});
+    View->Targets.push_back({Spec, Service.Verdicts[I], this->gaugeOf(Spec),
+                             this->trialDelay(Spec.Id, Service.Group)});
   }
   this->Next.ServiceViews.set(Name, std::move(View));
 }
--- a/src/node/decision_loop.h
+++ b/src/node/decision_loop.h
@@ -89,6 +89,9 @@
   void logChanges(const ServiceName &Name,
                   const std::vector<TargetVerdict> &Old,
                   const std::vector<TargetVerdict> &New);
+  /// How much later than others this node tries a doubted target again.
+  [[nodiscard]] Duration trialDelay(const TargetId &Target,
+                                    const std::vector<Address> &Group) const;
   void rebuildService(const ServiceName &Name, const Held &Service);
   std::shared_ptr<TargetGauge> gaugeOf(const TargetSpec &Spec);
   [[nodiscard]] const ServiceRecord *record(const ServiceName &Name) const;
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -1,4 +1,5 @@
 #include "node/dispatcher.h"
+#include "core/suspicion.h"
 #include "net/boot_time.h"
 #include "node/header_names.h"
 #include "node/node_context.h"
@@ -70,11 +71,15 @@
       Status, What, {Where, std::move(Peer), std::move(Reason)}, RetryAfter};
 }
 
-tl::expected<TargetLease, DispatchEnd> Dispatcher::enter() {
+PlacementOrder Dispatcher::placement() const {
   const bool Large = this->Order.Body->held().size() > config::LargeBodyBytes;
-  auto Lease = this->Order.Service->Gate->enter(
-      this->Context.Snapshots, {this->Context.Set.Domain, this->Tried,
-                                this->Order.Kind, Large, this->Order.Deadline});
+  return {this->Context.Set.Domain, this->Tried, this->Order.Kind, Large,
+          this->Order.Deadline};
+}
+
+tl::expected<TargetLease, DispatchEnd> Dispatcher::enter() {
+  auto Lease = this->Order.Service->Gate->enter(this->Context.Snapshots,
+                                                this->placement());
   if (Lease)
     return std::move(*Lease);
   if (this->Spare)
@@ -94,12 +99,11 @@
                                                 config::OverdueObjectivePart);
   if (Service.High == Duration::zero())
     return config::SilentMinimum;
-  const double Factor =
-      DetectionLimits::of(Service.Record.Detection).OverdueFactor;
-  const auto Usual = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::nano>(
-          Factor * static_cast<double>(Service.High.count())));
-  return std::max<Duration>(config::OverdueMinimum, Usual);
+  const double Chance =
+      DetectionLimits::of(Service.Record.Detection).OverdueChance;
+  return std::max<Duration>(
+      config::OverdueMinimum,
+      overdueAge({Service.Typical, Service.High}, Chance));
 }
 
 ExchangeResult<PooledConnection> Dispatcher::connect(const TargetView &Target) {
@@ -158,13 +162,21 @@
 }
 
 bool Dispatcher::giveUpOverdue(const TargetView &Target, Instant Started) {
-  this->observe(Target, Evidence::Overdue, bootNow() - Started);
-  const bool Another =
-      this->Order.Kind == Repeatability::Repeatable &&
-      this->Order.Body->replayable() && this->Attempts < this->maxAttempts() &&
-      this->Tried.size() < this->Order.Service->Targets.size() &&
-      timeLeft(this->Order.Deadline) > this->Order.Service->Typical;
-  this->RetryPaid = Another && this->Order.Service->Gate->takeRetry();
+  if (!std::exchange(this->WasOverdue, true))
+    this->observe(Target, Evidence::Overdue, bootNow() - Started);
+  const ServiceView &Service = *this->Order.Service;
+  const bool Another = this->Order.Kind == Repeatability::Repeatable &&
+                       this->Order.Body->replayable() &&
+                       this->Attempts < this->maxAttempts() &&
+                       this->Tried.size() < Service.Targets.size();
+  const Duration Left = timeLeft(this->Order.Deadline);
+  if (!Another || Left <= Service.Typical)
+    return false;
+  // The last moment at which another try can still end in time.
+  const bool LastChance = Left <= Service.High + config::OverduePollPeriod;
+  if (!LastChance && !Service.Gate->hasSoundRoom(Service, this->placement()))
+    return false;
+  this->RetryPaid = Service.Gate->takeRetry();
   return this->RetryPaid;
 }
 
@@ -193,7 +205,9 @@
   else if (Exchange.answer().Status >= 500)
     this->observe(Target, Evidence::Failure, Took);
   else
-    this->observe(Target, Evidence::Success, Took);
+    this->observe(Target,
+                  this->WasOverdue ? Evidence::LateSuccess : Evidence::Success,
+                  Took);
 }
 
 RequestPrint Dispatcher::printOf() const {
@@ -374,6 +388,7 @@
     const TargetView Target = Lease->target();
     this->Tried.insert(Target.Spec.Id);
     const Instant Started = bootNow();
+    this->WasOverdue = false;
     auto Ran = this->attempt(*Lease);
     const Duration Took = bootNow() - Started;
     ExchangeFailure Failed;
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -6,6 +6,7 @@
 #include "node/caller_request.h"
 #include "node/refusal.h"
 #include "node/request_body.h"
+#include "node/service_gate.h"
 #include "node/snapshot.h"
 #include "node/target_exchange.h"
 #include "node/target_lease.h"
@@ -71,10 +72,12 @@
   bool MayHaveRun = false;
   /// A retry was taken from the budget when the try was given up.
   bool RetryPaid = false;
+  bool WasOverdue = false; ///< The present try was.
   /// An answer of 500 or above, given if no retry brings a better one.
   std::optional<DispatchedAnswer> Spare;
 
   void prepareHead();
+  [[nodiscard]] PlacementOrder placement() const;
   tl::expected<TargetLease, DispatchEnd> enter();
   ExchangeResult<std::unique_ptr<TargetExchange>> attempt(TargetLease &Lease);
   ExchangeResult<PooledConnection> connect(const TargetView &Target);
--- a/src/node/gossip_loop.cpp
+++ b/src/node/gossip_loop.cpp
@@ -120,10 +120,10 @@
   if (const auto *News = std::get_if<RecordNews>(&Message.Body))
     this->takeNews(*News, Message.From);
   else if (const auto *Report = std::get_if<TargetReport>(&Message.Body))
-    this->Context.update(
-        ReportArrival{Report->Service, Report->Target,
-                      PeerReport{Message.From.Where, Message.From.Domain,
-                                 Report->What, Report->Streak, bootNow()}});
+    this->Context.update(ReportArrival{
+        Report->Service, Report->Target,
+        PeerReport{Message.From.Where, Message.From.Domain, Report->What,
+                   Report->Streak, bootNow(), Report->Doubt}});
   else if (const auto *Crash = std::get_if<CrashNews>(&Message.Body))
     this->takeCrash(*Crash);
   else
--- a/src/node/service_gate.cpp
+++ b/src/node/service_gate.cpp
@@ -1,5 +1,6 @@
 #include "node/service_gate.h"
 #include "core/doubt.h"
+#include "core/suspicion.h"
 #include "net/boot_time.h"
 #include "node/snapshot_holder.h"
 #include "node/target_gauge.h"
@@ -13,20 +14,25 @@
 namespace {
 
 Doubt doubtOf(const TargetView &Target) {
-  return {Target.Verdict.Doubt, Target.Verdict.DoubtedAt};
+  return {Target.Verdict.Doubt, Target.Verdict.DoubtedAt, Target.TrialDelay};
 }
 
 bool isNear(const TargetView &Target, const PlacementOrder &Order) {
   return !Order.Own.empty() && Target.Spec.Domain == Order.Own;
 }
 
-/// Handicap of a target for one request, in loads of all its slots.
-double handicapOf(const TargetView &Target, const PlacementOrder &Order,
-                  std::uint32_t InFlight, Instant Now) {
+/// Handicap of a target for one request, in loads of all its slots. The gate's
+/// lock must be held.
+double handicapOf(const ServiceView &View, const TargetView &Target,
+                  const PlacementOrder &Order, std::uint32_t InFlight,
+                  Instant Now) {
   const double Doubted =
       doubtHandicap(doubtOf(Target), InFlight, Order.Kind, Now);
+  const double Hangs =
+      hangChance(Target.Gauge->Started, {View.Typical, View.High}, Now);
   const bool Far = Order.LargeBody && !isNear(Target, Order);
-  return Doubted + (Far ? config::LargeBodyHandicap : 0);
+  return Doubted + Hangs * config::HangHandicap +
+         (Far ? config::LargeBodyHandicap : 0);
 }
 
 /// Slots of a target that this node may use now.
@@ -37,11 +43,13 @@
 
 } // namespace
 
-TargetLease::TargetLease(std::shared_ptr<ServiceGate> Gate, TargetView Target)
-    : Gate(std::move(Gate)), Target(std::move(Target)) {}
+TargetLease::TargetLease(std::shared_ptr<ServiceGate> Gate, TargetView Target,
+                         Instant Placed)
+    : Gate(std::move(Gate)), Target(std::move(Target)), Placed(Placed) {}
 
 TargetLease::TargetLease(TargetLease &&Other) noexcept
-    : Gate(std::move(Other.Gate)), Target(std::move(Other.Target)) {
+    : Gate(std::move(Other.Gate)), Target(std::move(Other.Target)),
+      Placed(Other.Placed) {
   Other.Gate.reset();
 }
 
@@ -51,6 +59,7 @@
   this->release();
   this->Gate = std::move(Other.Gate);
   this->Target = std::move(Other.Target);
+  this->Placed = Other.Placed;
   Other.Gate.reset();
   return *this;
 }
@@ -61,7 +70,7 @@
   if (!this->Gate)
     return;
   this->Target.Gauge->InFlight.fetch_sub(1);
-  this->Gate->leave();
+  this->Gate->leave(*this->Target.Gauge, this->Placed);
   this->Gate.reset();
 }
 
@@ -82,11 +91,10 @@
   this->Configured = true;
 }
 
-tl::expected<TargetLease, ServiceGate::Refusal>
-ServiceGate::tryEnter(const ServiceView &View, const PlacementOrder &Order,
-                      bool &Full) {
-  const Instant Now = bootNow();
-  std::vector<Candidate> Candidates;
+std::vector<Candidate> ServiceGate::candidates(const ServiceView &View,
+                                               const PlacementOrder &Order,
+                                               Instant Now, bool &Full) {
+  std::vector<Candidate> Found;
   Full = false;
   for (std::uint32_t I = 0; I < View.Targets.size(); ++I) {
     const TargetView &Each = View.Targets[I];
@@ -94,25 +102,40 @@
     if (!Open || Order.Tried.count(Each.Spec.Id) > 0)
       continue;
     const std::uint32_t InFlight = Each.Gauge->InFlight.load();
-    if (InFlight >= usableSlots(View, Each)) {
+    const bool Spared =
+        Each.Verdict.Share < 1.0 && this->Dice.unit() > Each.Verdict.Share;
+    if (InFlight >= usableSlots(View, Each) || Spared) {
       Full = true;
       continue;
     }
-    if (Each.Verdict.Share < 1.0 && this->Dice.unit() > Each.Verdict.Share) {
-      Full = true;
-      continue;
-    }
-    Candidates.push_back({I, InFlight, Each.Gauge->load(Now),
-                          slotsOf(View, Each), isNear(Each, Order),
-                          handicapOf(Each, Order, InFlight, Now)});
+    Found.push_back({I, InFlight, Each.Gauge->load(Now), slotsOf(View, Each),
+                     isNear(Each, Order),
+                     handicapOf(View, Each, Order, InFlight, Now)});
   }
-  const auto Chosen = pick(this->How, Candidates, this->Dice);
+  return Found;
+}
+
+tl::expected<TargetLease, ServiceGate::Refusal>
+ServiceGate::tryEnter(const ServiceView &View, const PlacementOrder &Order,
+                      bool &Full) {
+  const Instant Now = bootNow();
+  const auto Chosen =
+      pick(this->How, this->candidates(View, Order, Now, Full), this->Dice);
   if (!Chosen)
     return tl::unexpected<Refusal>(Refusal::NoTarget);
   const TargetView &Target = View.Targets[*Chosen];
   Target.Gauge->InFlight.fetch_add(1);
   Target.Gauge->Requests.fetch_add(1);
-  return TargetLease(this->shared_from_this(), Target);
+  Target.Gauge->Started.push_back(Now);
+  return TargetLease(this->shared_from_this(), Target, Now);
+}
+
+bool ServiceGate::hasSoundRoom(const ServiceView &View,
+                               const PlacementOrder &Order) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  bool Full = false;
+  const auto Found = this->candidates(View, Order, bootNow(), Full);
+  return std::any_of(Found.begin(), Found.end(), isSoundWithRoom);
 }
 
 bool ServiceGate::tooLate(const ServiceView &View, Instant Deadline) const {
@@ -158,8 +181,12 @@
   }
 }
 
-void ServiceGate::leave() {
+void ServiceGate::leave(TargetGauge &Gauge, Instant Placed) {
   const std::lock_guard<std::mutex> Guard(this->Lock);
+  const auto Ended =
+      std::find(Gauge.Started.begin(), Gauge.Started.end(), Placed);
+  if (Ended != Gauge.Started.end())
+    Gauge.Started.erase(Ended);
   if (this->Waiting > 0)
     this->SlotFree.notify_one();
 }
--- a/src/node/service_gate.h
+++ b/src/node/service_gate.h
@@ -17,6 +17,7 @@
 namespace siskinstage {
 
 class SnapshotHolder;
+struct TargetGauge;
 
 /// A request that needs a target.
 struct PlacementOrder {
@@ -51,7 +52,13 @@
   tl::expected<TargetLease, Refusal> enter(const SnapshotHolder &Snapshots,
                                            const PlacementOrder &Order);
   /// Called by TargetLease when a slot is free again.
-  void leave();
+  /// \param Placed when the request that held it was placed.
+  void leave(TargetGauge &Gauge, Instant Placed);
+
+  /// Whether a target that was not tried has a free slot and is not doubted, so
+  /// that work which waits elsewhere would be better off there.
+  [[nodiscard]] bool hasSoundRoom(const ServiceView &View,
+                                  const PlacementOrder &Order);
 
   void firstTry();
   [[nodiscard]] bool takeRetry();
@@ -69,6 +76,11 @@
   bool Configured = false;
   std::uint32_t Waiting = 0;
 
+  /// The targets that \p Order may go to now; \p Full is set if others were
+  /// left out for want of a slot.
+  std::vector<Candidate> candidates(const ServiceView &View,
+                                    const PlacementOrder &Order, Instant Now,
+                                    bool &Full);
   /// Either a lease, or why there is none now; \p Full is set if targets were
   /// left but had no free slot.
   tl::expected<TargetLease, Refusal>
--- a/src/node/snapshot.h
+++ b/src/node/snapshot.h
@@ -22,6 +22,8 @@
   TargetSpec Spec;
   TargetVerdict Verdict;
   std::shared_ptr<TargetGauge> Gauge;
+  /// How much later than the first of the group this node tries it again.
+  Duration TrialDelay{};
 };
 
 /// One service as handlers see it.
--- a/src/node/target_exchange.cpp
+++ b/src/node/target_exchange.cpp
@@ -176,19 +176,22 @@
     return readHead(this->Taken.Connection, HeadKind::Answer, Until,
                     timeLeft(this->Order.Deadline), this->Order.Caller);
   };
-  const Instant Overdue = bootNow() + this->Order.OverdueAfter;
-  if (this->Order.OverdueAfter == Duration::zero() || Overdue >= Limit)
+  if (this->Order.OverdueAfter == Duration::zero())
     return Read(Limit);
-  auto Lines = Read(Overdue);
-  if (Lines || !this->Taken.Connection.buffered().empty())
-    return Lines;
-  const auto *Fault = std::get_if<WireFault>(&Lines.error());
-  if (Fault == nullptr || Fault->What != WireFault::Kind::Timeout)
-    return Lines;
-  if (!this->Order.OnOverdue())
-    return Read(Limit);
-  this->GivenUp = true;
-  return Lines;
+  Instant Overdue = bootNow() + this->Order.OverdueAfter;
+  while (Overdue < Limit) {
+    auto Lines = Read(Overdue);
+    if (Lines || !this->Taken.Connection.buffered().empty())
+      return Lines;
+    const auto *Fault = std::get_if<WireFault>(&Lines.error());
+    if (Fault == nullptr || Fault->What != WireFault::Kind::Timeout)
+      return Lines;
+    this->GivenUp = this->Order.OnOverdue();
+    if (this->GivenUp)
+      return Lines;
+    Overdue += config::OverduePollPeriod;
+  }
+  return Read(Limit);
 }
 
 ExchangeResult<void> TargetExchange::takeHead(const std::string &Lines) {
--- a/src/node/target_exchange.h
+++ b/src/node/target_exchange.h
@@ -27,7 +27,8 @@
   /// Watched while waiting, so that the work can be cancelled; null if the
   /// work goes on without its caller.
   const Wire *Caller = nullptr;
-  /// Called once if no answer has begun after this time; zero for never.
+  /// If no answer has begun after this time, OnOverdue is called, and again
+  /// every config::OverduePollPeriod; zero for never.
   Duration OverdueAfter{};
   /// \returns whether the try is to be given up.
   std::function<bool()> OnOverdue;
--- a/src/node/target_gauge.h
+++ b/src/node/target_gauge.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <vector>
 
 namespace siskinstage {
 
@@ -16,6 +17,8 @@
   /// Set by a handler that was told so, before the decision thread knows.
   std::atomic<bool> SaidLeaving{false};
   ConnectionPool Pool;
+  /// When the requests in flight were placed; guarded by the service's gate.
+  std::vector<Instant> Started;
 
   /// Notes the requests that the target stated in an answer.
   void noteLoad(std::uint32_t Requests, Instant Now) {
--- a/src/node/target_lease.h
+++ b/src/node/target_lease.h
@@ -13,7 +13,8 @@
 class TargetLease {
 public:
   TargetLease() = default;
-  TargetLease(std::shared_ptr<ServiceGate> Gate, TargetView Target);
+  TargetLease(std::shared_ptr<ServiceGate> Gate, TargetView Target,
+              Instant Placed);
   TargetLease(TargetLease &&Other) noexcept;
   TargetLease &operator=(TargetLease &&Other) noexcept;
   TargetLease(const TargetLease &) = delete;
@@ -27,6 +28,7 @@
 private:
   std::shared_ptr<ServiceGate> Gate; ///< Null once released.
   TargetView Target;
+  Instant Placed;
 };
 
 } // namespace siskinstage
