Smaller rings, large buffers go back to the system

Cause: rings of 8192 observations and 1024 orders are touched whole at the start, about 1.2 MB of a process of 6 MB; freed bodies and whole reads of the store stayed with the process.

--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -12,7 +12,10 @@
 
 constexpr int BadSettings = 2;
 /// Thousands of connection threads share few heaps.
-constexpr int MaxArenas = 4;
+constexpr int MaxArenas = 2;
+/// Buffers from this size on go back to the system as soon as they are freed:
+/// bodies and whole reads of the configuration are larger, and rare.
+constexpr int LargeBufferBytes = 64 * 1024;
 
 sigset_t awaitedSignals() {
   sigset_t Signals;
@@ -40,6 +43,8 @@
 
 void prepareDaemon() {
   mallopt(M_ARENA_MAX, MaxArenas);
+  mallopt(M_MMAP_THRESHOLD, LargeBufferBytes);
+  mallopt(M_TRIM_THRESHOLD, LargeBufferBytes);
   std::signal(SIGPIPE, SIG_IGN);
   const sigset_t Signals = awaitedSignals();
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
--- a/src/node/node_context.cpp
+++ b/src/node/node_context.cpp
@@ -8,18 +8,13 @@
 
 namespace siskinstage {
 
-namespace {
-
-constexpr std::size_t UpdateRingSize = 1024;
-
-} // namespace
-
 NodeContext::NodeContext(const Settings &Set, const AddressParts &Own,
                          Incarnation Process,
                          std::shared_ptr<const Snapshot> First)
     : Set(Set), Snapshots(std::move(First)), Keys(Own, Process),
-      Observations(config::ObservationRingSize), Updates(UpdateRingSize),
-      GossipOrders(UpdateRingSize), SyncTasks(UpdateRingSize),
+      Observations(config::ObservationRingSize),
+      Updates(config::UpdateRingSize), GossipOrders(config::UpdateRingSize),
+      SyncTasks(config::UpdateRingSize),
       Members(std::make_shared<const MembersView>()) {}
 
 bool NodeContext::ready() const {
