An announced configuration is read before tables are compared

Suspected from the code: one thread reads announced records and compares whole tables, bucket by bucket; 38 targets were leaving just then, so that every comparison read tens of buckets, and a paused peer held it for two seconds.

--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -16,6 +16,7 @@
 #include "node/shared_records.h"
 #include "node/snapshot_holder.h"
 #include "node/stop_flag.h"
+#include "node/sync_queue.h"
 
 #include <atomic>
 
@@ -39,7 +40,7 @@
   /// From the decision and sync threads to the gossip thread.
   BoundedRing<GossipOrder> GossipOrders;
   /// From the gossip thread to the sync thread.
-  BoundedRing<SyncTask> SyncTasks;
+  SyncQueue SyncTasks;
   Doorbell DecisionBell;
   Doorbell SyncBell;
   PipeBell GossipBell;
--- a/src/node/peer_sync.cpp
+++ b/src/node/peer_sync.cpp
@@ -16,12 +16,16 @@
       this->Context.SyncBell.wait(config::DecisionRest);
       continue;
     }
-    const auto Done = this->runTask(*Task);
-    if (!Done)
-      logError(LogLevel::Info, "a peer could not be read", Done.error());
+    this->tryTask(*Task);
   }
 }
 
+void PeerSync::tryTask(const SyncTask &Task) {
+  const auto Done = this->runTask(Task);
+  if (!Done)
+    logError(LogLevel::Info, "a peer could not be read", Done.error());
+}
+
 Result<void> PeerSync::runTask(const SyncTask &Task) {
   switch (Task.What) {
   case SyncTask::Kind::Records:
@@ -45,6 +49,8 @@
   for (Json::ArrayIndex I = 0; I < Theirs->size(); ++I) {
     if (!(*Theirs)[I].isUInt64() || (*Theirs)[I].asUInt64() == Own[I])
       continue;
+    while (const auto Announced = this->Context.SyncTasks.popAnnounced())
+      this->tryTask(*Announced);
     const auto Read =
         this->readTexts(Task, Start + "bucket?n=" + std::to_string(I));
     if (!Read)
--- a/src/node/peer_sync.h
+++ b/src/node/peer_sync.h
@@ -20,6 +20,7 @@
 private:
   NodeContext &Context;
 
+  void tryTask(const SyncTask &Task);
   Result<void> runTask(const SyncTask &Task);
   Result<void> readRecords(const SyncTask &Task);
   Result<void> readOneRecord(const SyncTask &Task);
