Overdue requests raise doubt and do not eject; targets of the domain first

Change: an overdue request is no failure in a row until it has timed out; it weighs two units of doubt, a time-out four; a doubt that rises is reported though no streak does. Overdue at one in fifty (fast: one in twenty). A target of another domain is borrowed once the own ones have two requests, so that one node sees most of what a target has unfinished; large bodies stay as long as before (0.45 + 0.7).

--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -70,12 +70,13 @@
 
 // Choice among targets.
 /// What a target of another failure domain must be less loaded by, as a share
-/// of its slots: below one request of three, so that a free one is taken.
-inline constexpr double OtherDomainHandicap = 0.25;
+/// of its slots: between one and two requests of three. One node then knows
+/// most of what a target has unfinished, and borrows before its queue grows.
+inline constexpr double OtherDomainHandicap = 0.45;
 /// The same for a request with a large body, whose bytes between failure
 /// domains cost a fifth of its worth: it leaves the domain for a free slot
 /// only.
-inline constexpr double LargeBodyHandicap = 0.9;
+inline constexpr double LargeBodyHandicap = 0.7;
 inline constexpr std::size_t LargeBodyBytes = 16 * 1024;
 /// The load that a target stated counts for this long: the length of a usual
 /// request, after which half of what it ran has ended.
@@ -115,8 +116,8 @@
 inline constexpr double SlowFactorCareful = 5.0;
 /// A request is overdue, and another try may be made, at the age that this part
 /// of a sound target's requests reach.
-inline constexpr double OverdueChanceFast = 0.1;
-inline constexpr double OverdueChanceCareful = 0.05;
+inline constexpr double OverdueChanceFast = 0.05;
+inline constexpr double OverdueChanceCareful = 0.02;
 /// Whether an overdue request had better go elsewhere is asked again so often:
 /// a slot comes free in less than a usual request.
 inline constexpr std::chrono::milliseconds OverduePollPeriod = 100ms;
@@ -130,8 +131,11 @@
 inline constexpr std::chrono::milliseconds FirstEjection = 2s;
 /// Other targets are preferred for so long for each unit of doubt.
 inline constexpr std::chrono::milliseconds DoubtStep = 1500ms;
-/// Units of a request without an answer in time: a target that hangs does so
-/// for a spell of several seconds, and each trial within it is lost.
+/// Units of a request that is overdue: it may still be answered, or is given
+/// up before that could show.
+inline constexpr std::uint32_t OverdueDoubt = 2;
+/// Units of a request that was never answered: a target that hangs does so for
+/// a spell of several seconds, and each trial within it is lost.
 inline constexpr std::uint32_t SilenceDoubt = 4;
 /// Units of any other failure; a sound target fails one request in a hundred.
 inline constexpr std::uint32_t FailureDoubt = 1;
--- a/src/core/doubt.cpp
+++ b/src/core/doubt.cpp
@@ -15,16 +15,20 @@
   return config::TrialHandicap * std::max(0.0, 1.0 - Passed);
 }
 
+std::uint32_t weightOf(Evidence What) {
+  if (What == Evidence::Overdue)
+    return config::OverdueDoubt;
+  return What == Evidence::Timeout ? config::SilenceDoubt
+                                   : config::FailureDoubt;
+}
+
 } // namespace
 
 std::uint32_t doubtAfter(std::uint32_t Units, Evidence What, bool Failed) {
-  const bool Silent = What == Evidence::Overdue || What == Evidence::Timeout;
-  const std::uint32_t Weight =
-      Silent ? config::SilenceDoubt : config::FailureDoubt;
   if (Failed)
-    return std::min(Units + Weight, config::MaxDoubt);
+    return std::min(Units + weightOf(What), config::MaxDoubt);
   const std::uint32_t Relief =
-      What == Evidence::LateSuccess ? config::SilenceDoubt : 1;
+      What == Evidence::LateSuccess ? config::OverdueDoubt : 1;
   return Units - std::min(Units, Relief);
 }
 
--- a/src/core/service_health.cpp
+++ b/src/core/service_health.cpp
@@ -164,16 +164,18 @@
       Each.ReportedEjections = Health.ejections();
       Reports.push_back({this->Record.Name, Id, ReportKind::Ejected, 0});
     }
-    // The end of a doubt is news too, the single steps to it are not.
+    // A doubt that rises or ends is news, the single steps down are not.
+    const std::uint32_t Doubt = Health.ownDoubt();
     const bool Changed = Health.streak() != Each.ReportedStreak ||
-                         (Health.ownDoubt() == 0) != (Each.ReportedDoubt == 0);
+                         Doubt > Each.ReportedDoubt ||
+                         (Doubt == 0 && Each.ReportedDoubt > 0);
     if (!Changed || Now - Each.ReportedAt < config::ReportGap)
       continue;
     Each.ReportedStreak = Health.streak();
-    Each.ReportedDoubt = Health.ownDoubt();
+    Each.ReportedDoubt = Doubt;
     Each.ReportedAt = Now;
-    Reports.push_back({this->Record.Name, Id, Health.kind(), Health.streak(),
-                       Health.ownDoubt()});
+    Reports.push_back(
+        {this->Record.Name, Id, Health.kind(), Health.streak(), Doubt});
   }
   return Reports;
 }
--- a/src/core/target_health.cpp
+++ b/src/core/target_health.cpp
@@ -129,7 +129,10 @@
   while (this->Window.size() > config::HealthWindow ||
          Seen.At - this->Window.front().At > config::EvidenceAge)
     this->Window.pop_front();
-  this->Streak = Failed ? this->Streak + 1 : 0;
+  // An overdue request may still be answered: it raises doubt, and counts as a
+  // failure in a row once it has timed out.
+  if (Seen.What != Evidence::Overdue)
+    this->Streak = Failed ? this->Streak + 1 : 0;
   this->Doubt = doubtAfter(this->Doubt, Seen.What, Failed);
   if (Failed)
     this->DoubtedAt = Seen.At;
@@ -180,8 +183,7 @@
     return;
   }
   this->Reports[Report.From] = Report;
-  if (Report.Doubt > 0 && Report.Streak > 0 &&
-      Report.What == ReportKind::Failing)
+  if (Report.Doubt > 0 && Report.What == ReportKind::Failing)
     this->DoubtedAt = Report.At;
   if (this->Now != State::Ejected)
     this->judgeReports(Report.At, Limits, OwnDomain);
