--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -29,6 +29,21 @@
 inline constexpr std::chrono::milliseconds LingerTime = 500ms;
 inline constexpr int CallerThreadStackBytes = 256 * 1024;
 inline constexpr int CallerListenBacklog = 1024;
+/// Requests that a node serves at once, a thread each: more than the largest
+/// entry has in flight, 160 requests/s that wait two seconds in overload.
+inline constexpr int MaxCallerThreads = 400;
+/// Calls of other nodes, the platform and operators that are served at once.
+inline constexpr int MaxControlThreads = 24;
+inline constexpr std::size_t MaxControlConnections = 1000;
+/// A connection that has an event and no byte is left alone after this time.
+inline constexpr std::chrono::milliseconds HeadStartWait = 1s;
+/// Connections past their idle limit are looked for so often.
+inline constexpr std::chrono::milliseconds IdleSweepPeriod = 1s;
+// Ports with pages: readiness, directory, operators.
+inline constexpr std::chrono::milliseconds PageReadTimeout = 2s;
+inline constexpr std::chrono::milliseconds PageWriteTimeout = 5s;
+/// The platform asks once a second on a connection that it may keep.
+inline constexpr std::chrono::milliseconds PageIdleTimeout = 5s;
 inline constexpr std::chrono::milliseconds DefaultDeadline = 10s;
 inline constexpr std::chrono::milliseconds MaxDeadline = 300s;
 
--- a/src/net/wire.h
+++ b/src/net/wire.h
@@ -62,13 +62,14 @@
   void finish(Instant Deadline);
   void close();
   [[nodiscard]] std::string peer() const;
+  /// For poll sets.
+  [[nodiscard]] int descriptor() const;
 
 private:
   Poco::Net::StreamSocket Socket;
   std::string Buffer;
   std::size_t Used = 0; ///< Bytes of Buffer that were consumed.
 
-  [[nodiscard]] int descriptor() const;
   WireResult<void> awaitEvent(short Events, Instant Deadline,
                               const Wire *Watched) const;
 };
--- /dev/null
+++ b/src/node/caller_port.cpp
@@ -0,0 +1,81 @@
+#include "node/caller_port.h"
+#include "net/boot_time.h"
+#include "node/node_context.h"
+#include "node/request_flow.h"
+#include "siskinstage/config.h"
+
+#include <atomic>
+
+namespace siskinstage {
+
+namespace {
+
+/// Counts something for as long as it lives.
+class Counted {
+public:
+  explicit Counted(std::atomic<std::uint32_t> &Count) : Count(Count) {
+    ++this->Count;
+  }
+  ~Counted() { --this->Count; }
+  Counted(const Counted &) = delete;
+  Counted &operator=(const Counted &) = delete;
+
+private:
+  std::atomic<std::uint32_t> &Count;
+};
+
+void refuseHead(NodeContext &Context, Wire &Caller, const HttpRefusal &Why) {
+  const Refusal Refused = {Why.Status,
+                           Outcome::NotRun,
+                           {Step::ReadRequest, "caller", Why.Reason},
+                           std::nullopt};
+  Context.Measured.refused(Step::ReadRequest, Outcome::NotRun);
+  CallerReply(Caller, Context.newRequestId(), Context.Set.Speak)
+      .refuse(Refused);
+}
+
+} // namespace
+
+Duration CallerPort::idleLimit(bool Draining) const {
+  // A caller may just be sending on a connection that looks idle, so that a
+  // draining node does not close it at once.
+  return Draining ? config::DrainIdleLimit : config::CallerIdleTimeout;
+}
+
+bool CallerPort::serve(Wire &Caller) {
+  const auto Lines =
+      readHead(Caller, HeadKind::Request, bootNow() + config::HeadStartWait,
+               config::HeaderReadTimeout);
+  if (Lines)
+    return this->serveHead(Caller, *Lines);
+  if (const auto *Malformed = std::get_if<HttpRefusal>(&Lines.error())) {
+    refuseHead(this->Context, Caller, *Malformed);
+    return false;
+  }
+  if (!Caller.buffered().empty()) {
+    refuseHead(this->Context, Caller,
+               {408, "the head did not come whole in time"});
+    return false;
+  }
+  // Without a byte it was no request yet.
+  return std::get<WireFault>(Lines.error()).What == WireFault::Kind::Timeout;
+}
+
+bool CallerPort::serveHead(Wire &Caller, const std::string &Lines) {
+  const Counted Running(this->Context.RequestsInFlight);
+  const Instant Arrived = bootNow();
+  auto Head = parseRequest(Lines);
+  if (!Head) {
+    refuseHead(this->Context, Caller, {400, readFaultText(Head.error())});
+    return false;
+  }
+  const auto Request = readCallerRequest(*Head, this->Context.newRequestId(),
+                                         Arrived, this->Context.Set.Speak);
+  if (!Request) {
+    refuseHead(this->Context, Caller, Request.error());
+    return false;
+  }
+  return RequestFlow(this->Context, Caller, *Request).run();
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/node/caller_port.h
@@ -0,0 +1,27 @@
+#ifndef SISKINSTAGE_NODE_CALLER_PORT_H
+#define SISKINSTAGE_NODE_CALLER_PORT_H
+
+#include "net/http_io.h"
+#include "node/connection_handler.h"
+
+namespace siskinstage {
+
+struct NodeContext;
+
+/// The callers' port, and that of other nodes: requests, one after another.
+class CallerPort : public ConnectionHandler {
+public:
+  explicit CallerPort(NodeContext &Context) : Context(Context) {}
+
+  bool serve(Wire &Caller) override;
+  [[nodiscard]] Duration idleLimit(bool Draining) const override;
+
+private:
+  NodeContext &Context;
+
+  bool serveHead(Wire &Caller, const std::string &Lines);
+};
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NODE_CALLER_PORT_H
--- /dev/null
+++ b/src/node/connection_server.h
@@ -0,0 +1,98 @@
+#ifndef SISKINSTAGE_NODE_CONNECTION_SERVER_H
+#define SISKINSTAGE_NODE_CONNECTION_SERVER_H
+
+#include "net/wire.h"
+#include "node/connection_handler.h"
+#include "siskinstage/error.h"
+#include "siskinstage/strong_id.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/RunnableAdapter.h>
+#include <Poco/ThreadPool.h>
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+namespace siskinstage {
+
+/// Listens on ports and serves their connections. A connection without news
+/// holds a descriptor and no thread: all wait on one poll set, on which the
+/// threads wait in turn. Whoever gets an event serves it to its end, and
+/// another thread is waiting by then.
+class ConnectionServer {
+public:
+  struct Limits {
+    std::size_t Connections = 0; ///< More are closed as soon as they come.
+    int Threads = 0;             ///< Requests that are served at once.
+  };
+
+  /// \param Open shows the number of open connections.
+  static Result<std::unique_ptr<ConnectionServer>>
+  start(const Limits &Most, std::atomic<std::uint32_t> &Open);
+  ~ConnectionServer();
+  ConnectionServer(const ConnectionServer &) = delete;
+  ConnectionServer &operator=(const ConnectionServer &) = delete;
+
+  /// Opens a port.
+  Result<void> listen(const Address &Where,
+                      std::shared_ptr<ConnectionHandler> How);
+  /// From now on idle connections are kept as while draining.
+  void drain();
+  /// Takes no new connections at any port; open ones go on, and so do those
+  /// that were connected but not yet accepted.
+  void stopAccepting();
+
+private:
+  using Id = std::uint64_t;
+  /// A connection that waits for its peer, or is being served.
+  struct Held {
+    std::shared_ptr<Wire> Peer;
+    std::shared_ptr<ConnectionHandler> How;
+    Instant IdleSince;
+    bool Busy = false;
+  };
+  struct Port {
+    Poco::Net::ServerSocket Socket;
+    std::shared_ptr<ConnectionHandler> How;
+  };
+
+  const Limits Most;
+  const int PollSet;
+  std::atomic<std::uint32_t> &Open;
+  Poco::ThreadPool Pool;
+  Poco::RunnableAdapter<ConnectionServer> Worker;
+  std::mutex Lock;
+  std::unordered_map<Id, Port> Ports;
+  std::unordered_map<Id, Held> Connections;
+  Id NextId = 1;
+  int Running = 0; ///< Threads.
+  int Waiting = 0; ///< Threads that wait for an event.
+  bool Stopped = false;
+  bool Draining = false;
+  Instant DrainStart;
+  Instant NextSweep;
+
+  ConnectionServer(const Limits &Most, int PollSet,
+                   std::atomic<std::uint32_t> &Open);
+  void work();
+  /// Starts a thread if none waits. The lock must be held.
+  void ensureWaiter();
+  /// Counts this thread as waiting again. \returns false if it is to end.
+  bool waitAgain();
+  void serveEvent(Id Which);
+  void accept(Id Which);
+  /// Accepts one connection of a port. The lock must be held.
+  /// \returns false if none is left.
+  bool acceptOne(Port &From);
+  void serveConnection(Id Which);
+  void sweep();
+  /// Shows the number of open connections. The lock must be held.
+  void count();
+  void watch(int Descriptor, Id Which, int Operation) const;
+};
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NODE_CONNECTION_SERVER_H
--- a/src/node/log.cpp
+++ b/src/node/log.cpp
@@ -5,6 +5,7 @@
 #include <Poco/Timestamp.h>
 #include <json/value.h>
 #include <json/writer.h>
+#include <log4cplus/configurator.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
@@ -95,6 +96,8 @@
 
 void startLog(LogLevel Least, LogFormat Format, const std::string &Node) {
   static log4cplus::Initializer Initializer;
+  // Nothing is written by the library's own threads.
+  log4cplus::setThreadPoolSize(1);
   setup() = {Format, Node};
   log4cplus::SharedAppenderPtr Appender(
       new log4cplus::ConsoleAppender(true, true));
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,11 +1,13 @@
 #include "node/node.h"
 #include "core/address.h"
 #include "net/boot_time.h"
-#include "node/caller_server.h"
+#include "node/caller_port.h"
+#include "node/connection_server.h"
 #include "node/decision_loop.h"
 #include "node/gossip_loop.h"
 #include "node/node_context.h"
-#include "node/operator_server.h"
+#include "node/operator_pages.h"
+#include "node/page_port.h"
 #include "node/peer_sync.h"
 #include "node/platform_client.h"
 #include "node/prober.h"
@@ -34,30 +36,13 @@
   const Incarnation Process{drawNumber()};
   New->Context = std::make_unique<NodeContext>(
       Set, *Own, Process, std::make_shared<const Snapshot>());
-  auto Operators = OperatorServer::start(*New->Context);
-  if (!Operators)
-    return tl::unexpected<Error>(Operators.error());
-  New->Operators = std::move(*Operators);
   auto Gossip = GossipLoop::start(*New->Context, Process.Value);
   if (!Gossip)
     return tl::unexpected<Error>(Gossip.error());
   New->Gossip = std::move(*Gossip);
-  auto Callers = CallerServer::start(*New->Context, Set.Listen);
-  if (!Callers)
-    return tl::unexpected<Error>(Callers.error());
-  New->Callers = std::move(*Callers);
-  if (Set.FleetListen != Set.Listen) {
-    auto Peers = CallerServer::start(*New->Context, Set.FleetListen);
-    if (!Peers)
-      return tl::unexpected<Error>(Peers.error());
-    New->Peers = std::move(*Peers);
-  }
-  if (Adapter.StartListeners) {
-    auto Listeners = Adapter.StartListeners(*New->Context);
-    if (!Listeners)
-      return tl::unexpected<Error>(Listeners.error());
-    New->Listeners = std::move(*Listeners);
-  }
+  const auto Opened = New->openPorts(Adapter);
+  if (!Opened)
+    return tl::unexpected<Error>(Opened.error());
   New->Reload = Adapter.Reload;
   New->startThreads(Process.Value, Adapter);
   logEvent(LogLevel::Info, "node " + Set.Id.str() + " has started",
@@ -67,6 +52,39 @@
   return New;
 }
 
+Result<void> Node::openPorts(const NodeAdapter &Adapter) {
+  NodeContext &Shared = *this->Context;
+  const auto Most = static_cast<std::size_t>(Shared.Set.MaxConnections);
+  auto Control = ConnectionServer::start(
+      {config::MaxControlConnections, config::MaxControlThreads},
+      Shared.ControlConnections);
+  if (!Control)
+    return tl::unexpected<Error>(Control.error());
+  this->Control = std::move(*Control);
+  auto Callers = ConnectionServer::start({Most, config::MaxCallerThreads},
+                                         Shared.CallerConnections);
+  if (!Callers)
+    return tl::unexpected<Error>(Callers.error());
+  this->Callers = std::move(*Callers);
+
+  const auto Requests = std::make_shared<CallerPort>(Shared);
+  std::vector<NodePort> Others;
+  if (Adapter.Ports)
+    Others = Adapter.Ports(Shared);
+  Others.push_back({Shared.Set.OperatorListen,
+                    std::make_shared<PagePort>([&Shared](const std::string &U) {
+                      return operatorPage(Shared, U);
+                    })});
+  if (Shared.Set.FleetListen != Shared.Set.Listen)
+    Others.push_back({Shared.Set.FleetListen, Requests});
+  for (const NodePort &Each : Others) {
+    const auto Opened = this->Control->listen(Each.Where, Each.How);
+    if (!Opened)
+      return Opened;
+  }
+  return this->Callers->listen(Shared.Set.Listen, Requests);
+}
+
 void Node::startThreads(std::uint64_t Seed, const NodeAdapter &Adapter) {
   NodeContext &Shared = *this->Context;
   this->Threads.emplace_back([&Shared] { DecisionLoop(Shared).run(); });
@@ -102,6 +120,7 @@
   NodeContext &Shared = *this->Context;
   Shared.Draining.store(true);
   logEvent(LogLevel::Info, "the node is draining");
+  this->Callers->drain();
   // The members and callers that ask now hear of it; callers that come later
   // are refused a connection, which tells them that nothing was run.
   const Instant Limit = bootNow() + Shared.Set.ShutdownLimit;
@@ -115,14 +134,14 @@
            {{"requests_cut", std::to_string(Shared.RequestsInFlight.load())}});
 }
 
+Node::Node() = default;
+
 Node::~Node() {
   if (!this->Context)
     return;
   this->Context->Stop.stop();
   for (std::thread &Each : this->Threads)
     Each.join();
-  if (this->Operators)
-    this->Operators->stop();
 }
 
 } // namespace siskinstage
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -12,9 +12,8 @@
 namespace siskinstage {
 
 struct NodeContext;
-class CallerServer;
+class ConnectionServer;
 class GossipLoop;
-class OperatorServer;
 
 /// One running node with its threads.
 class Node {
@@ -31,15 +30,15 @@
 private:
   std::unique_ptr<NodeContext> Context;
   std::unique_ptr<GossipLoop> Gossip;
-  std::unique_ptr<CallerServer> Callers;
-  std::unique_ptr<CallerServer> Peers; ///< Null if the callers' port serves.
-  std::unique_ptr<OperatorServer> Operators;
-  std::shared_ptr<void> Listeners; ///< The adapter's.
+  std::unique_ptr<ConnectionServer> Callers;
+  /// Other nodes, operators and the platform: callers can't crowd them out.
+  std::unique_ptr<ConnectionServer> Control;
   std::vector<std::thread> Threads;
 
   std::function<Result<void>(NodeContext &)> Reload;
 
-  Node() = default;
+  Node();
+  Result<void> openPorts(const NodeAdapter &Adapter);
   void startThreads(std::uint64_t Seed, const NodeAdapter &Adapter);
 };
 
--- a/src/node/node_adapter.h
+++ b/src/node/node_adapter.h
@@ -2,13 +2,22 @@
 #define SISKINSTAGE_NODE_NODE_ADAPTER_H
 
 #include "siskinstage/error.h"
+#include "siskinstage/strong_id.h"
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace siskinstage {
 
 struct NodeContext;
+class ConnectionHandler;
+
+/// A port and what serves it.
+struct NodePort {
+  Address Where;
+  std::shared_ptr<ConnectionHandler> How;
+};
 
 /// What the adapter to a platform puts in place of the node's own parts.
 struct NodeAdapter {
@@ -18,8 +27,8 @@
   /// Reads the settings anew after SIGHUP; empty if there are none to read.
   /// \returns what is wrong with them, in which case the old ones stay.
   std::function<Result<void>(NodeContext &)> Reload;
-  /// Starts further listeners. \returns what keeps them open.
-  std::function<Result<std::shared_ptr<void>>(NodeContext &)> StartListeners;
+  /// Further ports that the node opens.
+  std::function<std::vector<NodePort>(const NodeContext &)> Ports;
 };
 
 } // namespace siskinstage
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -53,6 +53,7 @@
   StopFlag Stop;
   std::atomic<bool> Draining{false}; ///< SIGTERM came.
   std::atomic<std::uint32_t> CallerConnections{0};
+  std::atomic<std::uint32_t> ControlConnections{0};
   std::atomic<std::uint32_t> RequestsInFlight{0};
   std::atomic<std::uint64_t> NextRequest{1};
 
--- /dev/null
+++ b/src/node/operator_pages.h
@@ -0,0 +1,15 @@
+#ifndef SISKINSTAGE_NODE_OPERATOR_PAGES_H
+#define SISKINSTAGE_NODE_OPERATOR_PAGES_H
+
+#include "node/page_port.h"
+
+namespace siskinstage {
+
+struct NodeContext;
+
+/// The operators' pages: /healthz, /readyz, /metrics, /state and /explain.
+Page operatorPage(NodeContext &Context, const std::string &Uri);
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NODE_OPERATOR_PAGES_H
--- /dev/null
+++ b/src/node/page_port.cpp
@@ -0,0 +1,80 @@
+#include "node/page_port.h"
+#include "net/boot_time.h"
+#include "net/http_io.h"
+#include "siskinstage/config.h"
+
+#include <Poco/Exception.h>
+#include <Poco/String.h>
+
+namespace siskinstage {
+
+namespace {
+
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+bool hasBody(const HTTPRequest &Request) {
+  return Request.has("Transfer-Encoding") ||
+         (Request.has("Content-Length") &&
+          Request.get("Content-Length") != "0");
+}
+
+/// \returns whether the connection stays open.
+bool send(Wire &Peer, const Page &Shown, bool KeepOpen, bool HeadOnly) {
+  HTTPResponse Head(HTTPResponse::HTTP_1_1,
+                    static_cast<HTTPResponse::HTTPStatus>(Shown.Status));
+  Head.setReason(HTTPResponse::getReasonForStatus(Head.getStatus()));
+  Head.setContentType(Shown.Type);
+  Head.setContentLength64(static_cast<Poco::Int64>(Shown.Text.size()));
+  if (!KeepOpen)
+    Head.set("Connection", "close");
+  const auto Written = Peer.write(headText(Head) + (HeadOnly ? "" : Shown.Text),
+                                  bootNow() + config::PageWriteTimeout);
+  return Written && KeepOpen;
+}
+
+} // namespace
+
+Duration PagePort::idleLimit(bool /*Draining*/) const {
+  return config::PageIdleTimeout;
+}
+
+Page PagePort::pageFor(const std::string &Uri) const {
+  try {
+    return this->PageFor(Uri);
+  } catch (const Poco::Exception &Fault) {
+    return {400, "text/plain", "malformed: " + Fault.displayText() + "\n"};
+  }
+}
+
+bool PagePort::serve(Wire &Peer) {
+  const auto Lines =
+      readHead(Peer, HeadKind::Request, bootNow() + config::HeadStartWait,
+               config::PageReadTimeout);
+  if (!Lines) {
+    const auto *Fault = std::get_if<WireFault>(&Lines.error());
+    if (Fault == nullptr)
+      return send(Peer,
+                  {400, "text/plain", readFaultText(Lines.error()) + "\n"},
+                  false, false);
+    return Peer.buffered().empty() && Fault->What == WireFault::Kind::Timeout;
+  }
+  const auto Request = parseRequest(*Lines);
+  if (!Request)
+    return send(Peer,
+                {400, "text/plain", readFaultText(Request.error()) + "\n"},
+                false, false);
+  const std::string &Method = Request->getMethod();
+  if (Method != "GET" && Method != "HEAD")
+    return send(Peer, {405, "text/plain", "pages are read with GET\n"}, false,
+                false);
+  // A body, which no page asks for, would be taken for the next request.
+  const bool KeepOpen =
+      Request->getVersion() == HTTPRequest::HTTP_1_1 &&
+      Poco::icompare(Request->get("Connection", ""), "close") != 0 &&
+      !hasBody(*Request);
+  return send(Peer, this->pageFor(Request->getURI()), KeepOpen,
+              Method == "HEAD");
+}
+
+} // namespace siskinstage
--- a/src/node/state_dump.cpp
+++ b/src/node/state_dump.cpp
@@ -66,6 +66,7 @@
   Dump["ready"] = Context.ready();
   Dump["draining"] = Context.Draining.load();
   Dump["caller_connections"] = Context.CallerConnections.load();
+  Dump["control_connections"] = Context.ControlConnections.load();
   Dump["requests_in_flight"] = Context.RequestsInFlight.load();
   Dump["observations_lost"] =
       static_cast<Json::UInt64>(Context.Observations.lost());
--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -109,7 +109,8 @@
             f"--ready_listen={node}:{READY}",
             f"--directory_listen={node}:{DIRECTORY}",
             "--platform=%s:%d" % STORE_ADDRESS,
-            f"--seeds={self.nodes[0]}:{CONTROL},{self.nodes[1]}:{CONTROL}",
+            "--seeds=" + ",".join(f"{each}:{CONTROL}"
+                                  for each in self.nodes[:2]),
             f"--bounds={BOUNDS}", "--entries_per_domain=1",
             "--probe_period_ms=0", "--accept_linger_ms=300",
             "--shutdown_limit_ms=4000"], stdout=log, stderr=log,
