Entries by capacity; two or three machines read the store for all

Ruled out: entries chosen by measured traffic.

Change: members carry the capacity of their machine and whether they can read the platform. domainEntries takes the large machines of a large domain, on equal machines as before, and works each weight out once. Three nodes of different domains read the store; the first with a short watch, the others lag. A watcher tells two nodes of each other domain in place of one, since a domain has no watchers of its own any more: the test of one is changed for that.

--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -115,6 +115,12 @@
 /// so many of them: the traffic of a large domain is too much for one node.
 inline constexpr std::size_t LargeDomainNodes = 16;
 inline constexpr std::size_t NodesPerEntry = 4;
+/// A machine counts as large if its capacity times this reaches the largest
+/// one's: machines of one delivery differ by less.
+inline constexpr std::uint32_t LargeCapacityFactor = 2;
+/// With fewer large machines than this in a domain, the loss of one would leave
+/// it without any.
+inline constexpr std::size_t LeastLargeEntries = 2;
 inline constexpr std::chrono::milliseconds EntriesForwardTimeout = 300ms;
 inline constexpr std::size_t RelayPeersTried = 2;
 inline constexpr int MaxForwardHops = 2;
@@ -257,8 +263,13 @@
 inline constexpr std::chrono::milliseconds GossipSilence = 1200ms;
 
 // Configuration between nodes.
-inline constexpr std::size_t WatchersPerDomain = 2;
+/// Nodes of the whole fleet that read the platform. The first passes nearly all
+/// news on; the others stand in when it is lost or refused.
+inline constexpr std::size_t PlatformWatchers = 3;
 inline constexpr std::size_t NewsFanout = 4;
+/// Nodes of each other failure domain that a watcher tells: a datagram may be
+/// lost, and the comparison of digests takes a second.
+inline constexpr std::size_t NewsFarFanout = 2;
 /// A record is told to all nodes of a failure domain with up to so many others:
 /// one burst of datagrams of 20 KB in all.
 inline constexpr std::size_t NewsDirectMembers = 24;
--- a/src/core/gossip_codec.cpp
+++ b/src/core/gossip_codec.cpp
@@ -11,7 +11,9 @@
 
 constexpr std::size_t MaxNameBytes = 200;
 constexpr std::size_t MaxUpdates = 64;
-constexpr Json::ArrayIndex MemberFields = 7;
+/// Members of the first version end with who suspects them.
+constexpr Json::ArrayIndex FirstMemberFields = 7;
+constexpr Json::ArrayIndex MemberFields = 9;
 
 tl::unexpected<Error> bad(const std::string &Field) {
   return fail(Step::Forward, "gossip", "field " + Field + " is malformed");
@@ -139,11 +141,14 @@
   Value.append(number(Each.Lives.Value));
   Value.append(static_cast<int>(Each.State));
   Value.append(Each.SuspectedBy.str());
+  Value.append(Each.Capacity);
+  Value.append(Each.Blind);
   return Value;
 }
 
 Result<Member> decodeMember(const Json::Value &Value) {
-  if (!Value.isArray() || Value.size() != MemberFields)
+  const bool First = Value.isArray() && Value.size() == FirstMemberFields;
+  if (!First && (!Value.isArray() || Value.size() != MemberFields))
     return bad("member");
   if (!isAddress(Value[0]))
     return bad("member address");
@@ -154,13 +159,17 @@
   if (!Value[5].isInt() || Value[5].asInt() < 0 ||
       Value[5].asInt() > static_cast<int>(MemberState::Left))
     return bad("member state");
+  if (!First && (!Value[7].isUInt() || !Value[8].isBool()))
+    return bad("member capacity");
   return Member{Address(Value[0].asString()),
                 NodeId(Value[1].asString()),
                 FailureDomain(Value[2].asString()),
                 {Value[3].asUInt64()},
                 {Value[4].asUInt64()},
                 static_cast<MemberState>(Value[5].asInt()),
-                Address(Value[6].asString())};
+                Address(Value[6].asString()),
+                First ? 0 : Value[7].asUInt(),
+                !First && Value[8].asBool()};
 }
 
 Json::Value encodeGossip(const GossipMessage &Message) {
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -32,6 +32,10 @@
   MemberState State = MemberState::Alive;
   /// Of a suspicion: who began it or found the same on its own.
   Address SuspectedBy;
+  /// What its machine can carry, in thousandths of a processor core; 0 if it is
+  /// not known.
+  std::uint32_t Capacity = 0;
+  bool Blind = false; ///< It can't read the platform now.
   bool operator==(const Member &) const = default;
 };
 
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -32,6 +32,15 @@
   this->Seeds = std::move(New);
 }
 
+void Membership::setBlind(bool Blind) {
+  if (this->Self.Blind == Blind)
+    return;
+  this->Self.Blind = Blind;
+  ++this->Self.Lives.Value; // Overrides what the others know.
+  ++this->Version;
+  this->enqueue(this->Self);
+}
+
 std::size_t Membership::liveCount() const {
   return static_cast<std::size_t>(std::count_if(
       this->Table.begin(), this->Table.end(),
@@ -158,7 +167,8 @@
     this->Digest ^= digestOf(Entry.Is);
   if (NowLive)
     this->Digest ^= digestOf(Claim);
-  if (WasLive != NowLive || Entry.Is.Process != Claim.Process)
+  if (WasLive != NowLive || Entry.Is.Process != Claim.Process ||
+      Entry.Is.Blind != Claim.Blind || Entry.Is.Capacity != Claim.Capacity)
     ++this->Version;
   Entry.Is = Claim;
   Entry.Since = Now;
--- a/src/core/news_spread.cpp
+++ b/src/core/news_spread.cpp
@@ -37,7 +37,7 @@
   if (Source != NewsSource::Platform)
     return To;
   for (auto &[Domain, Members] : Domains) {
-    drawSome(Members, 1, Dice);
+    drawSome(Members, config::NewsFarFanout, Dice);
     To.insert(To.end(), Members.begin(), Members.end());
   }
   return To;
--- a/src/core/news_spread.h
+++ b/src/core/news_spread.h
@@ -15,11 +15,10 @@
   OwnDomain,   ///< A node of its own failure domain.
 };
 
-/// Whom a node tells of a new record. Bytes between failure domains are dear,
-/// and each domain has watchers of its own: news goes to all nodes of the own
-/// domain, and from a watcher to one node of each other domain, in case that
-/// domain's watchers can't read. In a domain too large for that, each node
-/// passes news on to a few.
+/// Whom a node tells of a new record. Bytes between failure domains are dear: a
+/// watcher tells few nodes of each other domain, and whoever hears of news from
+/// another domain tells all nodes of its own. In a domain too large for that,
+/// each node passes news on to a few.
 /// \param Live the live members, with or without the node itself.
 std::vector<Address> newsRecipients(const std::vector<Member> &Live,
                                     const Member &Self, NewsSource Source,
--- a/src/core/steering.cpp
+++ b/src/core/steering.cpp
@@ -10,13 +10,45 @@
 
 namespace {
 
+/// Sorts by the weight for \p Key, each of which is worked out once.
 void sortByWeight(std::vector<SteeringNode> &Nodes, const std::string &Key) {
-  std::sort(Nodes.begin(), Nodes.end(),
-            [&](const SteeringNode &Left, const SteeringNode &Right) {
-              const auto L = rendezvousWeight(Key, Left.Id.str());
-              const auto R = rendezvousWeight(Key, Right.Id.str());
-              return L != R ? L > R : Left.Id < Right.Id;
+  std::vector<std::pair<std::uint64_t, SteeringNode>> Weighed;
+  Weighed.reserve(Nodes.size());
+  for (SteeringNode &Each : Nodes) {
+    const std::uint64_t Weight = rendezvousWeight(Key, Each.Id.str());
+    Weighed.emplace_back(Weight, std::move(Each));
+  }
+  std::sort(Weighed.begin(), Weighed.end(),
+            [](const auto &Left, const auto &Right) {
+              return Left.first != Right.first
+                         ? Left.first > Right.first
+                         : Left.second.Id < Right.second.Id;
             });
+  for (std::size_t I = 0; I < Nodes.size(); ++I)
+    Nodes[I] = std::move(Weighed[I].second);
+}
+
+/// Puts the machines of large capacity first, in their order otherwise.
+/// \returns how many they are.
+std::size_t largeFirst(std::vector<SteeringNode> &Nodes) {
+  std::uint32_t Largest = 0;
+  for (const SteeringNode &Each : Nodes)
+    Largest = std::max(Largest, Each.Capacity);
+  const auto Others = std::stable_partition(
+      Nodes.begin(), Nodes.end(), [&](const SteeringNode &Each) {
+        return Each.Capacity * config::LargeCapacityFactor >= Largest;
+      });
+  return static_cast<std::size_t>(Others - Nodes.begin());
+}
+
+/// How many entries a domain has; \p Members are sorted, large ones first.
+std::size_t entriesOf(std::size_t Members, std::size_t Large,
+                      std::size_t PerDomain) {
+  if (Members <= config::LargeDomainNodes)
+    return std::min(PerDomain, Members);
+  const std::size_t Usual =
+      std::min(std::max(PerDomain, Members / config::NodesPerEntry), Members);
+  return Large >= config::LeastLargeEntries ? std::min(Usual, Large) : Usual;
 }
 
 using ByDomain = std::map<FailureDomain, std::vector<SteeringNode>>;
@@ -69,17 +101,34 @@
   std::vector<SteeringNode> Entries;
   for (auto &[Domain, Members] :
        sortedByDomain(Nodes, "entries of a failure domain")) {
-    const std::size_t Wanted =
-        Members.size() > config::LargeDomainNodes
-            ? std::max(PerDomain, Members.size() / config::NodesPerEntry)
-            : PerDomain;
-    const std::size_t Taken = std::min(Wanted, Members.size());
+    const std::size_t Large = largeFirst(Members);
+    const std::size_t Taken = entriesOf(Members.size(), Large, PerDomain);
     Entries.insert(Entries.end(), Members.begin(),
                    Members.begin() + static_cast<std::ptrdiff_t>(Taken));
   }
   return Entries;
 }
 
+std::vector<SteeringNode> platformWatchers(std::vector<SteeringNode> Nodes,
+                                           std::size_t Count) {
+  sortByWeight(Nodes, "platform watchers");
+  largeFirst(Nodes);
+  std::set<FailureDomain> Used;
+  std::vector<SteeringNode> Chosen;
+  for (const SteeringNode &Each : Nodes)
+    if (Chosen.size() < Count && Used.insert(Each.Domain).second)
+      Chosen.push_back(Each);
+  // Fewer domains than watchers: more of each.
+  for (const SteeringNode &Each : Nodes) {
+    const bool Taken =
+        std::any_of(Chosen.begin(), Chosen.end(),
+                    [&](const auto &Other) { return Other.Where == Each.Where; });
+    if (Chosen.size() < Count && !Taken)
+      Chosen.push_back(Each);
+  }
+  return Chosen;
+}
+
 std::vector<SteeringNode> accountEntries(const std::vector<SteeringNode> &Group,
                                          const AccountName &Account,
                                          std::size_t Count) {
--- a/src/core/steering.h
+++ b/src/core/steering.h
@@ -14,6 +14,9 @@
   NodeId Id;
   Address Where;
   FailureDomain Domain;
+  /// Thousandths of a processor core, 0 if it is not known.
+  std::uint32_t Capacity = 0;
+  bool Blind = false; ///< It can't read the platform now.
 };
 
 /// Weight of \p Node for \p Key in rendezvous hashing; the highest wins.
@@ -33,10 +36,19 @@
                                        std::size_t PerDomain);
 
 /// The entries that serve all services: in each failure domain the
-/// \p PerDomain nodes of the highest weight, more in a large domain.
+/// \p PerDomain nodes of the highest weight, more in a large domain. Where a
+/// large domain has machines that carry several times as much as the others,
+/// they alone are its entries: few entries know more of each target's load and
+/// failures than many, and none of them is short of processor time.
 std::vector<SteeringNode> domainEntries(const std::vector<SteeringNode> &Nodes,
                                         std::size_t PerDomain);
 
+/// The nodes that read the platform for the whole fleet, first the one that
+/// reads soonest: \p Count of the highest weight, of different failure domains
+/// as far as there are, machines of large capacity first.
+std::vector<SteeringNode> platformWatchers(std::vector<SteeringNode> Nodes,
+                                           std::size_t Count);
+
 /// The \p Count nodes of \p Group to which \p Account is steered, best first,
 /// over as many failure domains as there are.
 std::vector<SteeringNode> accountEntries(const std::vector<SteeringNode> &Group,
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -248,12 +248,15 @@
 void DecisionLoop::apply(MemberBatch &Batch) {
   std::vector<SteeringNode> Live;
   for (const Member &Each : Batch.Live)
-    Live.push_back({Each.Id, Each.Where, Each.Domain});
+    Live.push_back(
+        {Each.Id, Each.Where, Each.Domain, Each.Capacity, Each.Blind});
   std::sort(Live.begin(), Live.end(),
             [](const SteeringNode &Left, const SteeringNode &Right) {
               return Left.Where < Right.Where;
             });
   this->Next.Nodes = std::move(Live);
+  this->Next.Entries =
+      domainEntries(this->Next.Nodes, this->Context.Set.EntriesPerDomain);
   for (auto &[Name, Service] : this->Services)
     Service.Group = this->groupOf(Name);
   this->configureGates();
@@ -273,7 +276,7 @@
   View.Live = std::max<std::size_t>(this->Next.Nodes.size(), 1);
   const std::size_t PerDomain = this->Context.Set.EntriesPerDomain;
   if (PerDomain > 0) {
-    const auto Entries = domainEntries(this->Next.Nodes, PerDomain);
+    const auto &Entries = this->Next.Entries;
     View.Entries = Entries.size();
     View.IsEntry = std::any_of(
         Entries.begin(), Entries.end(), [this](const SteeringNode &Each) {
@@ -299,7 +302,7 @@
   const std::size_t Entries = this->Context.Set.EntriesPerDomain;
   std::vector<Address> Group;
   for (const SteeringNode &Node :
-       Entries > 0 ? domainEntries(this->Next.Nodes, Entries)
+       Entries > 0 ? this->Next.Entries
                    : serviceGroup(this->Next.Nodes, Name, PerDomain))
     if (Node.Where != this->Context.Set.FleetAddress)
       Group.push_back(Node.Where);
--- a/src/node/gossip_loop.cpp
+++ b/src/node/gossip_loop.cpp
@@ -6,6 +6,7 @@
 #include "node/node_context.h"
 #include "node/record_intake.h"
 #include "node/snapshot.h"
+#include "node/watcher_role.h"
 #include "siskinstage/config.h"
 
 #include <Poco/Exception.h>
@@ -19,7 +20,8 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds ShowPeriod{500};
+/// What operators see of members that did not change is no older.
+constexpr std::chrono::milliseconds ShowPeriod{2000};
 constexpr int MaxDatagramsAtOnce = 256;
 constexpr int ReceiveBufferBytes = 1024 * 1024;
 
@@ -29,6 +31,7 @@
   Self.Id = Context.Set.Id;
   Self.Domain = Context.Set.Domain;
   Self.Process = Context.Keys.process();
+  Self.Capacity = Context.Set.Capacity;
   // A replaced node that starts later outdoes its forerunner at once; should
   // its clock be behind, it learns the higher number from the others.
   Self.Lives = {wallClockMs()};
@@ -195,6 +198,14 @@
   this->Members.setSeeds(Order.Seeds);
 }
 
+void GossipLoop::obey(const SetBlind &Order) {
+  this->Members.setBlind(Order.Blind);
+  // Whoever watches the platform next must not wait for the news to spread.
+  for (const SteeringNode &Each : nextWatchers(this->Members.live()))
+    if (Each.Where != this->Members.self().Where)
+      this->send(Each.Where, this->Members.compose(Ping{}));
+}
+
 void GossipLoop::obey(const CrashNews &Order) {
   for (const Address &To : this->Members.sample(config::NewsFanout))
     this->send(To, this->Members.compose(Order));
@@ -240,6 +251,9 @@
   auto View = std::make_shared<MembersView>();
   View->All = this->Members.members();
   View->Live = this->Members.live();
+  View->Watchers = Changed || this->ShownVersion == 0
+                       ? nextWatchers(View->Live)
+                       : this->Context.Members.load()->Watchers;
   View->Counts = this->Members.stats();
   this->Context.Members.store(View);
   if (Changed || this->ShownVersion == 0)
--- a/src/node/gossip_loop.h
+++ b/src/node/gossip_loop.h
@@ -48,6 +48,7 @@
   void obey(const AnnounceRecord &Order);
   void obey(const SendReport &Order);
   void obey(const SetSeeds &Order);
+  void obey(const SetBlind &Order);
   void obey(const CrashNews &Order);
   void obey(const std::vector<Member> &Table);
   void send(const std::vector<OutgoingGossip> &Out);
--- a/src/node/gossip_order.h
+++ b/src/node/gossip_order.h
@@ -26,9 +26,14 @@
   std::vector<Address> Seeds;
 };
 
+/// Whether this node can read the platform.
+struct SetBlind {
+  bool Blind = false;
+};
+
 /// What the other threads ask of the gossip thread.
 using GossipOrder = std::variant<AnnounceRecord, SendReport, SetSeeds,
-                                 CrashNews, std::vector<Member>>;
+                                 SetBlind, CrashNews, std::vector<Member>>;
 
 /// Reads what differs from a peer: its records, or its table of members.
 struct SyncTask {
--- a/src/node/members_view.h
+++ b/src/node/members_view.h
@@ -2,6 +2,7 @@
 #define SISKINSTAGE_NODE_MEMBERS_VIEW_H
 
 #include "core/membership.h"
+#include "core/steering.h"
 
 #include <atomic>
 #include <cstdint>
@@ -13,6 +14,7 @@
 struct MembersView {
   std::vector<Member> All;  ///< Known members without this node.
   std::vector<Member> Live; ///< Live ones with this node.
+  std::vector<SteeringNode> Watchers; ///< See nextWatchers.
   Membership::Stats Counts;
 };
 
--- a/src/node/platform_client.cpp
+++ b/src/node/platform_client.cpp
@@ -61,7 +61,7 @@
   // A new node first looks for peers, which spare the platform its reading.
   this->Context.Stop.sleep(config::GossipPeriod);
   while (!this->Context.Stop.stopped()) {
-    if (!watchesPlatform(this->Context)) {
+    if (!watcherRank(this->Context)) {
       this->Context.Stop.sleep(config::GossipPeriod);
       continue;
     }
@@ -113,7 +113,7 @@
 
 Duration PlatformClient::instancePeriod(Random &Dice) const {
   const std::size_t Live = this->Context.Members.load()->Live.size();
-  if (Live <= 1 || watchesPlatform(this->Context))
+  if (Live <= 1 || watcherRank(this->Context))
     return config::InstanceListPeriod;
   const Duration Period = std::max<Duration>(
       config::InstanceListRest,
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -2,6 +2,7 @@
 #include "core/address.h"
 #include "net/flag_reader.h"
 
+#include <Poco/NumberParser.h>
 #include <absl/flags/flag.h>
 #include <absl/flags/reflection.h>
 #include <absl/flags/usage.h>
@@ -41,6 +42,9 @@
 ABSL_FLAG(std::string, entries_per_domain, "0",
           "Nodes of each failure domain that callers are steered to, 0 to 64; "
           "0 steers by service groups.");
+ABSL_FLAG(std::string, processor_share, "0",
+          "Share of a processor core that this machine has, 0 to 1024; 0 if it "
+          "is not known.");
 ABSL_FLAG(std::string, probe_period_ms, "5000",
           "Time between two probes of one target by one node, 0 to 600000; 0 "
           "for no probes.");
@@ -80,6 +84,7 @@
 
 const std::vector<std::string> Names = {"fleet_listen",
                                         "entries_per_domain",
+                                        "processor_share",
                                         "probe_period_ms",
                                         "accept_linger_ms",
                                         "shutdown_limit_ms",
@@ -149,6 +154,21 @@
   return Line;
 }
 
+/// Thousandths of the number that the setting \p Name holds.
+std::uint32_t readShare(const std::string &Name, const std::string &Value,
+                        std::vector<Error> &Faults) {
+  constexpr double Most = 1024;
+  constexpr double Thousandths = 1000;
+  double Share = 0;
+  if (!Poco::NumberParser::tryParseFloat(Value, Share) || !(Share >= 0) ||
+      Share > Most) {
+    Faults.push_back({Step::Settings, Name,
+                      "found " + Value + ", allowed is a number from 0 to 1024"});
+    return 0;
+  }
+  return static_cast<std::uint32_t>(Share * Thousandths);
+}
+
 std::optional<KeyRing> readKeys(std::vector<Error> &Faults) {
   auto Ring = KeyRing::parse(keyText(Faults));
   if (Ring)
@@ -199,6 +219,8 @@
   Read.EntriesPerDomain = static_cast<std::size_t>(
       readNumber("entries_per_domain", absl::GetFlag(FLAGS_entries_per_domain),
                  0, 64, Faults));
+  Read.Capacity = readShare("processor_share",
+                            absl::GetFlag(FLAGS_processor_share), Faults);
   Read.ProbePeriod =
       Millis(readNumber("probe_period_ms", absl::GetFlag(FLAGS_probe_period_ms),
                         0, 600'000, Faults));
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -37,6 +37,8 @@
   /// Entries of each failure domain that callers are steered to; zero to steer
   /// by service groups.
   std::size_t EntriesPerDomain = 0;
+  /// What this machine can carry, in thousandths of a processor core.
+  std::uint32_t Capacity = 0;
   Millis ProbePeriod = config::ProbePeriod; ///< Zero for no probes.
   /// From SIGTERM on, new connections are still taken for this long.
   Millis AcceptLinger = config::ShutdownNotice;
--- a/src/node/snapshot.h
+++ b/src/node/snapshot.h
@@ -52,7 +52,8 @@
   Accounts AccountRecords;
   Services ServiceViews;
   FleetRecord Fleet;
-  std::vector<SteeringNode> Nodes; ///< Live entry instances.
+  std::vector<SteeringNode> Nodes;   ///< Live entry instances.
+  std::vector<SteeringNode> Entries; ///< Those that callers are steered to.
 
   /// The service, or null.
   [[nodiscard]] std::shared_ptr<const ServiceView>
--- a/src/node/watcher_role.cpp
+++ b/src/node/watcher_role.cpp
@@ -1,5 +1,4 @@
 #include "node/watcher_role.h"
-#include "core/steering.h"
 #include "net/boot_time.h"
 #include "node/node_context.h"
 #include "siskinstage/config.h"
@@ -8,26 +7,36 @@
 
 namespace siskinstage {
 
-namespace {
-
-constexpr const char *WatcherKey = "platform watchers";
-
-} // namespace
+std::vector<SteeringNode> nextWatchers(const std::vector<Member> &Live) {
+  std::vector<SteeringNode> All;
+  std::vector<SteeringNode> Seeing;
+  for (const Member &Each : Live) {
+    All.push_back({Each.Id, Each.Where, Each.Domain, Each.Capacity, Each.Blind});
+    if (!Each.Blind)
+      Seeing.push_back(All.back());
+  }
+  auto Chosen = platformWatchers(std::move(Seeing), config::PlatformWatchers);
+  // A node that is blind finds out by trying whether it still is.
+  for (const SteeringNode &Each :
+       platformWatchers(std::move(All), config::PlatformWatchers))
+    if (Each.Blind)
+      Chosen.push_back(Each);
+  return Chosen;
+}
 
-bool watchesPlatform(const NodeContext &Context) {
+std::optional<std::size_t> watcherRank(const NodeContext &Context) {
   const Instant Heard{Duration(Context.LastGossip.load())};
   if (bootNow() - Heard > config::GossipSilence)
-    return true;
-  std::vector<SteeringNode> Own;
-  for (const Member &Each : Context.Members.load()->Live)
-    if (Each.Domain == Context.Set.Domain)
-      Own.push_back({Each.Id, Each.Where, Each.Domain});
-  const auto Chosen =
-      serviceGroup(Own, ServiceName(WatcherKey), config::WatchersPerDomain);
-  return std::any_of(Chosen.begin(), Chosen.end(),
-                     [&](const SteeringNode &Node) {
-                       return Node.Where == Context.Set.FleetAddress;
-                     });
+    return 0;
+  const auto View = Context.Members.load();
+  const std::vector<SteeringNode> &Chosen = View->Watchers;
+  const auto Own = std::find_if(
+      Chosen.begin(), Chosen.end(), [&](const SteeringNode &Each) {
+        return Each.Where == Context.Set.FleetAddress;
+      });
+  if (Own == Chosen.end())
+    return std::nullopt;
+  return static_cast<std::size_t>(Own - Chosen.begin());
 }
 
 } // namespace siskinstage
--- a/tests/unit/fleet_share_test.cpp
+++ b/tests/unit/fleet_share_test.cpp
@@ -2,9 +2,12 @@
 #include "core/retry_budget.h"
 #include "core/retry_share.h"
 #include "core/steering.h"
+#include "node/watcher_role.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
+#include <map>
+#include <set>
 #include <gtest/gtest.h>
 
 namespace siskinstage {
@@ -34,13 +37,14 @@
       }));
 }
 
-TEST(NewsSpread, AWatcherTellsItsDomainAndOneOfEachOther) {
+TEST(NewsSpread, AWatcherTellsItsDomainAndTwoOfEachOther) {
   Random Dice(1);
   const auto To =
       newsRecipients(members(8), member("a", 1), NewsSource::Platform, Dice);
   EXPECT_EQ(countIn(To, 0), 7U);
   for (int Domain = 1; Domain < 4; ++Domain)
-    EXPECT_EQ(countIn(To, Domain), 1U);
+    EXPECT_EQ(countIn(To, Domain), config::NewsFarFanout);
+  EXPECT_EQ(std::set<Address>(To.begin(), To.end()).size(), To.size());
 }
 
 TEST(NewsSpread, NewsFromAnotherDomainStaysInTheOwn) {
@@ -96,6 +100,84 @@
     EXPECT_EQ(After[I].Where, Before[I].Where);
 }
 
+/// Domains of \p Small machines, each with \p Large ones of five times as much.
+std::vector<SteeringNode> mixed(int Small, int Large) {
+  auto Nodes = steered(Small + Large);
+  std::map<FailureDomain, int> Seen;
+  for (SteeringNode &Each : Nodes)
+    Each.Capacity = Seen[Each.Domain]++ < Large ? 500 : 100;
+  return Nodes;
+}
+
+TEST(DomainEntries, LargeMachinesAloneAreTheEntriesOfALargeDomain) {
+  const auto Entries = domainEntries(mixed(75, 3), 1);
+  EXPECT_EQ(Entries.size(), 4 * 3U);
+  for (const SteeringNode &Each : Entries)
+    EXPECT_EQ(Each.Capacity, 500U);
+}
+
+TEST(DomainEntries, OneLargeMachineIsNotLeftAlone) {
+  EXPECT_EQ(domainEntries(mixed(39, 1), 1).size(),
+            4 * 40 / config::NodesPerEntry);
+}
+
+TEST(DomainEntries, EqualMachinesAreChosenAsWithoutCapacity) {
+  auto Nodes = steered(40);
+  const auto Before = domainEntries(Nodes, 1);
+  for (SteeringNode &Each : Nodes)
+    Each.Capacity = 200;
+  const auto After = domainEntries(Nodes, 1);
+  ASSERT_EQ(After.size(), Before.size());
+  for (std::size_t I = 0; I < After.size(); ++I)
+    EXPECT_EQ(After[I].Where, Before[I].Where);
+}
+
+TEST(PlatformWatchers, AreFewAtAnySizeAndOfDifferentDomains) {
+  for (const int PerDomain : {1, 8, 110}) {
+    const auto Chosen = platformWatchers(steered(PerDomain), 3);
+    ASSERT_EQ(Chosen.size(), 3U);
+    std::set<FailureDomain> Domains;
+    for (const SteeringNode &Each : Chosen)
+      Domains.insert(Each.Domain);
+    EXPECT_EQ(Domains.size(), 3U);
+  }
+}
+
+TEST(PlatformWatchers, AreLargeMachinesAndStayWhenAnotherIsLost) {
+  auto Nodes = mixed(20, 2);
+  const auto Before = platformWatchers(Nodes, 3);
+  for (const SteeringNode &Each : Before)
+    EXPECT_EQ(Each.Capacity, 500U);
+  std::erase_if(Nodes, [&](const SteeringNode &Each) {
+    return Each.Where == Before.front().Where;
+  });
+  const auto After = platformWatchers(Nodes, 3);
+  for (std::size_t I = 1; I < Before.size(); ++I)
+    EXPECT_TRUE(std::any_of(After.begin(), After.end(), [&](const auto &Each) {
+      return Each.Where == Before[I].Where;
+    }));
+}
+
+TEST(PlatformWatchers, OneThatIsRefusedHandsOverAndGoesOnTrying) {
+  auto Live = members(8);
+  const auto Before = nextWatchers(Live);
+  ASSERT_EQ(Before.size(), config::PlatformWatchers);
+  for (Member &Each : Live)
+    Each.Blind = Each.Where == Before.front().Where;
+  const auto After = nextWatchers(Live);
+  ASSERT_EQ(After.size(), config::PlatformWatchers + 1);
+  EXPECT_FALSE(After.front().Blind);
+  EXPECT_TRUE(After.back().Blind);
+  EXPECT_EQ(After.back().Where, Before.front().Where);
+}
+
+TEST(PlatformWatchers, NoStormWhileThePlatformIsLostToAll) {
+  auto Live = members(110);
+  for (Member &Each : Live)
+    Each.Blind = true;
+  EXPECT_EQ(nextWatchers(Live).size(), config::PlatformWatchers);
+}
+
 FleetRecord fleet() {
   FleetRecord Fleet;
   Fleet.RetryBudget = 0.2;
