Belief in gray spells in place of units of doubt; kept connections end in time

A target in a gray spell fails three of four requests at once and so looks least loaded. A unit of doubt took 20 ms to reach the placement, lasted 1.5 s after the first failure, whatever went before, and one success of four took it back.

Ruled out: longer steps of doubt. A sound target fails one request in 80, and nine seconds for each would keep nearly half of the sound targets out.

Change: GrayBelief, a chance of being gray from a chain of two states. Each piece of evidence counts by how much more likely it is in a spell; what is known fades in some seconds. Handlers note it at once; news of a rise or an end goes to the other entries from there. hangChance starts from it. trialDelay and its hashes for each target and rebuild are gone, and doubt no longer makes the decision thread weigh all targets every 50 ms.

--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -150,32 +150,31 @@
 /// A target stays marked as leaving for this long after its last such sign.
 inline constexpr std::chrono::milliseconds LeavingMemory = 10s;
 inline constexpr std::chrono::milliseconds FirstEjection = 2s;
-/// Other targets are preferred for so long for each unit of doubt.
-inline constexpr std::chrono::milliseconds DoubtStep = 1500ms;
-/// Units of a request that is overdue: it may still be answered, or is given
-/// up before that could show.
-inline constexpr std::uint32_t OverdueDoubt = 2;
-/// Units of a request that was never answered: a target that hangs does so for
-/// a spell of several seconds, and each trial within it is lost.
-inline constexpr std::uint32_t SilenceDoubt = 4;
-/// Units of any other failure; a sound target fails one request in a hundred.
-inline constexpr std::uint32_t FailureDoubt = 1;
-/// The most units: their doubt lasts as long as a gray spell, nine seconds.
-inline constexpr std::uint32_t MaxDoubt = 6;
-/// A doubted target is tried by one node first. The others wait so much longer:
-/// a usual request and the news of its end.
-inline constexpr std::chrono::milliseconds TrialHandover = 1500ms;
-/// Time after a doubt in which the handicap of a trial wears off.
-inline constexpr std::chrono::milliseconds TrialFade = 3s;
+/// Part of all targets that are in a gray spell when nothing is known of them.
+inline constexpr double GrayShare = 0.2;
+/// Time in which what is known of a target fades to a third: spells of about
+/// nine seconds, which begin anew after some four times as long.
+inline constexpr std::chrono::milliseconds GrayMemory = 7s;
+/// Failures among the requests of a sound target.
+inline constexpr double SoundFailures = 0.015;
+/// Part of a sound target's requests that become overdue.
+inline constexpr double SoundOverdue = 0.04;
+/// Part of a sound target's requests that get no answer in time.
+inline constexpr double SoundTimeouts = 0.005;
+/// No evidence makes the chance of a spell, or of none, less than this.
+inline constexpr double LeastGrayChance = 0.005;
+/// From this chance on a target counts as gray towards the other nodes.
+inline constexpr double ProbablyGray = 0.4;
+/// A target that is probably gray gets one request at a time: each further one
+/// tells nothing sooner.
+inline constexpr double TrialChance = 0.5;
+/// Part of the handicap that counts for work which may run twice: its failure
+/// costs a retry, and it finds out what work that must not run twice would pay
+/// for.
+inline constexpr double RepeatableHandicapPart = 0.4;
 /// Handicap of a doubted target, in loads of all its slots: more than any
 /// target that is not doubted can have.
 inline constexpr double DoubtHandicap = 2.0;
-/// Handicap at the end of the doubt for work that must not run twice: others
-/// try the target first.
-inline constexpr double TrialHandicap = 0.5;
-/// Chance that a target hangs when nothing is known of it: in a fleet with gray
-/// failures a few in a hundred do at any moment, unnoticed.
-inline constexpr double HangPrior = 0.05;
 /// Part of its requests that a hanging target never answers.
 inline constexpr double HungShare = 0.75;
 /// Lowest chance that a request of a sound target is taken to have of being
@@ -284,6 +283,8 @@
 // Reports of targets between nodes.
 inline constexpr std::chrono::milliseconds ReportMemory = 3s;
 inline constexpr std::chrono::milliseconds ReportGap = 50ms;
+/// Failures in a row from which on they are reported.
+inline constexpr std::uint32_t LeastReportedStreak = 2;
 inline constexpr std::size_t FastReporters = 2;
 inline constexpr std::size_t CarefulReporters = 3;
 inline constexpr std::size_t FastVerdicts = 1;
@@ -300,8 +301,11 @@
 
 // Shutdown.
 inline constexpr std::chrono::milliseconds ShutdownNotice = 500ms;
-/// While draining, an idle connection is kept so long for one more request.
-inline constexpr std::chrono::milliseconds DrainIdleLimit = 5s;
+/// While draining, idle connections are kept so long for one more request each,
+/// which must still end before the process does.
+inline constexpr std::chrono::milliseconds DrainIdleLimit = 3s;
+/// And each for so long after it came or was last used.
+inline constexpr std::chrono::milliseconds DrainQuietTime = 300ms;
 inline constexpr std::chrono::milliseconds ShutdownLimit = 60s;
 
 } // namespace siskinstage::config
--- a/src/core/gossip_codec.cpp
+++ b/src/core/gossip_codec.cpp
@@ -61,7 +61,12 @@
     this->Into["t"] = Body.Target.str();
     this->Into["w"] = static_cast<int>(Body.What);
     this->Into["s"] = Body.Streak;
-    this->Into["o"] = Body.Doubt;
+  }
+  void operator()(const GrayNews &Body) const {
+    this->Into["k"] = "gray";
+    this->Into["v"] = Body.Service.str();
+    this->Into["t"] = Body.Target.str();
+    this->Into["p"] = Body.Percent;
   }
   void operator()(const CrashNews &Body) const {
     this->Into["k"] = "crash";
@@ -98,12 +103,22 @@
     return bad("w");
   if (!Value["s"].isUInt())
     return bad("s");
-  if (!Value["o"].isUInt())
-    return bad("o");
-  return TargetReport{ServiceName(Value["v"].asString()),
-                      TargetId(Value["t"].asString()),
-                      static_cast<ReportKind>(Value["w"].asInt()),
-                      Value["s"].asUInt(), Value["o"].asUInt()};
+  return TargetReport{
+      ServiceName(Value["v"].asString()), TargetId(Value["t"].asString()),
+      static_cast<ReportKind>(Value["w"].asInt()), Value["s"].asUInt()};
+}
+
+Result<GossipBody> readGrayNews(const Json::Value &Value) {
+  constexpr unsigned MostPercent = 99;
+  if (!isText(Value["v"]))
+    return bad("v");
+  if (!isText(Value["t"]))
+    return bad("t");
+  if (!Value["p"].isUInt() || Value["p"].asUInt() < 1 ||
+      Value["p"].asUInt() > MostPercent)
+    return bad("p");
+  return GrayNews{ServiceName(Value["v"].asString()),
+                  TargetId(Value["t"].asString()), Value["p"].asUInt()};
 }
 
 Result<GossipBody> readBody(const Json::Value &Value) {
@@ -114,6 +129,8 @@
     return readRecordNews(Value);
   if (Kind == "target")
     return readTargetReport(Value);
+  if (Kind == "gray")
+    return readGrayNews(Value);
   if (!Value["s"].isUInt64())
     return bad("s");
   const std::uint64_t Sequence = Value["s"].asUInt64();
--- a/src/core/gossip_message.h
+++ b/src/core/gossip_message.h
@@ -44,7 +44,14 @@
   ReportKind What = ReportKind::Failing;
   /// Failures seen there since the last success; 0 takes a report back.
   std::uint32_t Streak = 0;
-  std::uint32_t Doubt = 0; ///< Units, see doubt.h.
+};
+
+/// How likely a target is in a gray spell, told by a node that just saw
+/// evidence of it.
+struct GrayNews {
+  ServiceName Service;
+  TargetId Target;
+  std::uint32_t Percent = 0; ///< 1 to 99.
 };
 
 /// Tells that a target broke off at a request.
@@ -53,8 +60,8 @@
   TargetId Target;
 };
 
-using GossipBody =
-    std::variant<Ping, PingRequest, Ack, RecordNews, TargetReport, CrashNews>;
+using GossipBody = std::variant<Ping, PingRequest, Ack, RecordNews,
+                                TargetReport, GrayNews, CrashNews>;
 
 /// One datagram between nodes.
 struct GossipMessage {
--- /dev/null
+++ b/src/core/gray_belief.cpp
@@ -0,0 +1,78 @@
+#include "core/gray_belief.h"
+#include "siskinstage/config.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace siskinstage {
+
+namespace {
+
+/// How much more likely evidence is within a spell than outside.
+double likelihoodRatio(Evidence What) {
+  constexpr double Gray = config::HungShare;
+  switch (What) {
+  case Evidence::Success:
+    return (1 - Gray) / (1 - config::SoundFailures);
+  case Evidence::LateSuccess:
+    // What its silence told is taken back.
+    return config::SoundOverdue / Gray * (1 - Gray);
+  case Evidence::Overdue:
+    return Gray / config::SoundOverdue;
+  case Evidence::Timeout:
+    // It was overdue before, which has been counted.
+    return config::SoundOverdue / config::SoundTimeouts;
+  case Evidence::Failure:
+  case Evidence::ConnectFailed:
+    return Gray / config::SoundFailures;
+  case Evidence::Shed:
+  case Evidence::Leaving:
+    return 1;
+  }
+  return 1;
+}
+
+double bounded(double Chance) {
+  return std::clamp(Chance, config::LeastGrayChance,
+                    1 - config::LeastGrayChance);
+}
+
+} // namespace
+
+double GrayBelief::InitialChance() { return config::GrayShare; }
+
+double GrayBelief::chance(Instant Now) const {
+  const double Passed =
+      static_cast<double>((Now - this->At).count()) /
+      static_cast<double>(Duration(config::GrayMemory).count());
+  const double Left = std::exp(-std::max(Passed, 0.0));
+  return config::GrayShare + (this->Chance - config::GrayShare) * Left;
+}
+
+void GrayBelief::note(Evidence What, Instant Now) {
+  const double Before = this->chance(Now);
+  const double Odds = Before / (1 - Before) * likelihoodRatio(What);
+  this->Chance = bounded(Odds / (1 + Odds));
+  this->At = Now;
+}
+
+void GrayBelief::adopt(double Told, Instant Now) {
+  this->Chance = bounded(Told);
+  this->At = Now;
+  this->ToldGray = this->Chance >= config::ProbablyGray;
+}
+
+std::optional<double> GrayBelief::news(Evidence What, Instant Now) {
+  const bool Tells = What != Evidence::ConnectFailed &&
+                     What != Evidence::Shed && What != Evidence::Leaving;
+  if (!Tells)
+    return std::nullopt;
+  const double Is = this->chance(Now);
+  const bool Gray = Is >= config::ProbablyGray;
+  if (!Gray && !this->ToldGray)
+    return std::nullopt;
+  this->ToldGray = Gray;
+  return Is;
+}
+
+} // namespace siskinstage
--- /dev/null
+++ b/src/core/gray_handicap.cpp
@@ -0,0 +1,15 @@
+#include "core/gray_handicap.h"
+#include "siskinstage/config.h"
+
+namespace siskinstage {
+
+double grayHandicap(double Chance, std::uint32_t InFlight, Repeatability Kind) {
+  if (Chance >= config::TrialChance && InFlight > 0)
+    return config::DoubtHandicap;
+  const double Whole = Chance * config::HangHandicap;
+  return Kind == Repeatability::Repeatable
+             ? Whole * config::RepeatableHandicapPart
+             : Whole;
+}
+
+} // namespace siskinstage
--- a/src/core/peer_report.h
+++ b/src/core/peer_report.h
@@ -16,7 +16,6 @@
   ReportKind What = ReportKind::Failing;
   std::uint32_t Streak = 0;
   Instant At;
-  std::uint32_t Doubt = 0; ///< Units, see doubt.h.
 };
 
 } // namespace siskinstage
--- a/src/core/service_health.cpp
+++ b/src/core/service_health.cpp
@@ -143,11 +143,9 @@
     const TargetId &Id = this->Record.Targets[I].Id;
     const TargetHealth &Health = this->Targets[Id].Health;
     const bool Kept = Admitted[I] && Wishes[I].Eject;
-    const std::uint32_t Doubt = Health.doubt(Now);
     Verdicts.push_back({Id, Admitted[I], Wishes[I].Leaving, Kept,
-                        Health.byGroup(), Health.share(Now), Doubt,
-                        Doubt > 0 ? Health.doubtedAt() : Instant(),
-                        Health.state(), Health.reason(), Health.ejections()});
+                        Health.byGroup(), Health.share(Now), Health.state(),
+                        Health.reason(), Health.ejections()});
   }
   return Verdicts;
 }
@@ -164,18 +162,16 @@
       Each.ReportedEjections = Health.ejections();
       Reports.push_back({this->Record.Name, Id, ReportKind::Ejected, 0});
     }
-    // A doubt that rises or ends is news, the single steps down are not.
-    const std::uint32_t Doubt = Health.ownDoubt();
-    const bool Changed = Health.streak() != Each.ReportedStreak ||
-                         Doubt > Each.ReportedDoubt ||
-                         (Doubt == 0 && Each.ReportedDoubt > 0);
+    // A single failure is in the belief that nodes share of each target.
+    const bool Failing = Health.streak() >= config::LeastReportedStreak;
+    const bool Changed = Health.streak() != Each.ReportedStreak &&
+                         (Failing || Each.ReportedStreak > 0);
     if (!Changed || Now - Each.ReportedAt < config::ReportGap)
       continue;
-    Each.ReportedStreak = Health.streak();
-    Each.ReportedDoubt = Doubt;
+    Each.ReportedStreak = Failing ? Health.streak() : 0;
     Each.ReportedAt = Now;
     Reports.push_back(
-        {this->Record.Name, Id, Health.kind(), Health.streak(), Doubt});
+        {this->Record.Name, Id, Health.kind(), Each.ReportedStreak});
   }
   return Reports;
 }
--- a/src/core/service_health.h
+++ b/src/core/service_health.h
@@ -20,8 +20,6 @@
   bool KeptByFloor = false; ///< Sick, but the floor keeps it in.
   bool ByGroup = false;     ///< Ejected on the reports of several nodes.
   double Share = 1.0;       ///< Part of its usual work.
-  std::uint32_t Doubt = 0;  ///< Failures not made up for.
-  Instant DoubtedAt;        ///< When the last of them was seen.
   TargetHealth::State State = TargetHealth::State::Healthy;
   std::string Reason;
   std::uint32_t Ejections = 0;
@@ -65,7 +63,6 @@
     Incarnation Process;
     bool ListedLeaving = false;
     std::uint32_t ReportedStreak = 0;
-    std::uint32_t ReportedDoubt = 0;
     bool ReportedLeaving = false;
     std::uint32_t ReportedEjections = 0;
     Instant ReportedAt;
--- a/src/core/steering.cpp
+++ b/src/core/steering.cpp
@@ -18,12 +18,11 @@
     const std::uint64_t Weight = rendezvousWeight(Key, Each.Id.str());
     Weighed.emplace_back(Weight, std::move(Each));
   }
-  std::sort(Weighed.begin(), Weighed.end(),
-            [](const auto &Left, const auto &Right) {
-              return Left.first != Right.first
-                         ? Left.first > Right.first
-                         : Left.second.Id < Right.second.Id;
-            });
+  std::sort(
+      Weighed.begin(), Weighed.end(), [](const auto &Left, const auto &Right) {
+        return Left.first != Right.first ? Left.first > Right.first
+                                         : Left.second.Id < Right.second.Id;
+      });
   for (std::size_t I = 0; I < Nodes.size(); ++I)
     Nodes[I] = std::move(Weighed[I].second);
 }
@@ -121,8 +120,9 @@
   // Fewer domains than watchers: more of each.
   for (const SteeringNode &Each : Nodes) {
     const bool Taken =
-        std::any_of(Chosen.begin(), Chosen.end(),
-                    [&](const auto &Other) { return Other.Where == Each.Where; });
+        std::any_of(Chosen.begin(), Chosen.end(), [&](const auto &Other) {
+          return Other.Where == Each.Where;
+        });
     if (Chosen.size() < Count && !Taken)
       Chosen.push_back(Each);
   }
--- a/src/core/suspicion.cpp
+++ b/src/core/suspicion.cpp
@@ -39,9 +39,9 @@
                             (Usual.High - Usual.Median) * Share);
 }
 
-double hangChance(const std::vector<Instant> &Started,
+double hangChance(double Prior, const std::vector<Instant> &Started,
                   const UsualLatency &Usual, Instant Now) {
-  double Odds = config::HangPrior / (1.0 - config::HangPrior);
+  double Odds = Prior / (1.0 - Prior);
   for (const Instant Each : Started) {
     const double Sound = std::max(unfinishedChance(Now - Each, Usual),
                                   config::LeastUnfinishedChance);
--- a/src/core/target_health.cpp
+++ b/src/core/target_health.cpp
@@ -1,5 +1,4 @@
 #include "core/target_health.h"
-#include "core/doubt.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
@@ -129,24 +128,14 @@
   while (this->Window.size() > config::HealthWindow ||
          Seen.At - this->Window.front().At > config::EvidenceAge)
     this->Window.pop_front();
-  // An overdue request may still be answered: it raises doubt, and counts as a
-  // failure in a row once it has timed out.
+  // An overdue request may still be answered: it counts as a failure in a row
+  // once it has timed out.
   if (Seen.What != Evidence::Overdue)
     this->Streak = Failed ? this->Streak + 1 : 0;
-  this->Doubt = doubtAfter(this->Doubt, Seen.What, Failed);
-  if (Failed)
-    this->DoubtedAt = Seen.At;
-  else
-    this->relieveReports();
   this->Kind = Seen.What == Evidence::ConnectFailed ? ReportKind::Unreachable
                                                     : ReportKind::Failing;
 }
 
-void TargetHealth::relieveReports() {
-  for (auto &[From, Each] : this->Reports)
-    Each.Doubt -= std::min<std::uint32_t>(Each.Doubt, 1);
-}
-
 void TargetHealth::judge(const Observation &Seen,
                          const DetectionLimits &Limits) {
   const bool OnProbation = this->Now == State::Probation;
@@ -183,8 +172,6 @@
     return;
   }
   this->Reports[Report.From] = Report;
-  if (Report.Doubt > 0 && Report.What == ReportKind::Failing)
-    this->DoubtedAt = Report.At;
   if (this->Now != State::Ejected)
     this->judgeReports(Report.At, Limits, OwnDomain);
 }
@@ -280,16 +267,6 @@
   }
 }
 
-std::uint32_t TargetHealth::doubt(Instant At) const {
-  std::uint32_t Units = this->Doubt;
-  for (const auto &[From, Each] : this->Reports)
-    // That another node can't reach it says nothing of the path from here.
-    if (At - Each.At <= doubtLength(Each.Doubt) &&
-        Each.What == ReportKind::Failing)
-      Units += Each.Doubt;
-  return std::min(Units, config::MaxDoubt);
-}
-
 double TargetHealth::failureFraction() const {
   if (this->Window.empty())
     return 0;
--- a/src/core/target_health.h
+++ b/src/core/target_health.h
@@ -36,10 +36,6 @@
 
   [[nodiscard]] State state() const { return this->Now; }
   [[nodiscard]] bool leaving() const { return this->IsLeaving; }
-  /// Units of doubt, as seen here and by others of late.
-  [[nodiscard]] std::uint32_t doubt(Instant Now) const;
-  /// When the last of them was seen.
-  [[nodiscard]] Instant doubtedAt() const { return this->DoubtedAt; }
   /// Order in which sick targets are kept in when the floor binds.
   [[nodiscard]] double sickness() const;
   /// Share of its usual work that the target may get, above 0 to 1.
@@ -56,8 +52,6 @@
 
   /// What this node has to report: failures since the last success.
   [[nodiscard]] std::uint32_t streak() const { return this->Streak; }
-  /// Units of doubt from what this node saw itself.
-  [[nodiscard]] std::uint32_t ownDoubt() const { return this->Doubt; }
   [[nodiscard]] ReportKind kind() const { return this->Kind; }
 
 private:
@@ -75,8 +69,6 @@
   /// Percentiles of Window's successes, if they are still up to date.
   mutable std::optional<UsualLatency> Percentiles;
   std::uint32_t Streak = 0;
-  std::uint32_t Doubt = 0; ///< Units, see doubt.h.
-  Instant DoubtedAt;
   ReportKind Kind = ReportKind::Failing;
   std::map<Address, PeerReport> Reports;
   std::map<Address, Instant> Verdicts; ///< Who ejected it, and when.
@@ -88,8 +80,6 @@
 
   void noteLeaving(const Observation &Seen);
   void note(const Observation &Seen, bool Failed);
-  /// A success here counts against what others reported.
-  void relieveReports();
   void judge(const Observation &Seen, const DetectionLimits &Limits);
   void takeVerdict(const PeerReport &Report, const DetectionLimits &Limits);
   void judgeReports(Instant At, const DetectionLimits &Limits,
--- a/src/node/connection_server.cpp
+++ b/src/node/connection_server.cpp
@@ -206,21 +206,34 @@
 }
 
 void ConnectionServer::sweep() {
+  {
+    const std::lock_guard<std::mutex> Guard(this->Lock);
+    if (bootNow() < this->NextSweep)
+      return;
+  }
+  this->closeIdle();
+}
+
+void ConnectionServer::closeIdle() {
   const Instant Now = bootNow();
   const std::lock_guard<std::mutex> Guard(this->Lock);
-  if (Now < this->NextSweep)
-    return;
   this->NextSweep = Now + config::IdleSweepPeriod;
   std::erase_if(this->Connections, [&](const auto &Entry) {
-    const Held &Each = Entry.second;
-    const Instant Since = this->Draining
-                              ? std::max(Each.IdleSince, this->DrainStart)
-                              : Each.IdleSince;
-    return !Each.Busy && Now - Since >= Each.How->idleLimit(this->Draining);
+    return this->isPastLimit(Entry.second, Now);
   });
   this->count();
 }
 
+bool ConnectionServer::isPastLimit(const Held &Each, Instant Now) const {
+  const Duration Limit = Each.How->idleLimit(this->Draining);
+  if (Each.Busy)
+    return false;
+  if (!this->Draining)
+    return Now - Each.IdleSince >= Limit;
+  return Now - this->DrainStart >= Limit &&
+         Now - Each.IdleSince >= config::DrainQuietTime;
+}
+
 void ConnectionServer::drain() {
   const std::lock_guard<std::mutex> Guard(this->Lock);
   this->Draining = true;
--- a/src/node/connection_server.h
+++ b/src/node/connection_server.h
@@ -40,6 +40,8 @@
                       std::shared_ptr<ConnectionHandler> How);
   /// From now on idle connections are kept as while draining.
   void drain();
+  /// Closes connections past their idle limit; this is also done once a second.
+  void closeIdle();
   /// Takes no new connections at any port; open ones go on, and so do those
   /// that were connected but not yet accepted.
   void stopAccepting();
@@ -88,6 +90,7 @@
   bool acceptOne(Port &From);
   void serveConnection(Id Which);
   void sweep();
+  [[nodiscard]] bool isPastLimit(const Held &Each, Instant Now) const;
   /// Shows the number of open connections. The lock must be held.
   void count();
   void watch(int Descriptor, Id Which, int Operation) const;
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -23,7 +23,7 @@
 }
 
 bool isSettled(const TargetVerdict &Verdict) {
-  return Verdict.State == TargetHealth::State::Healthy && Verdict.Doubt == 0;
+  return Verdict.State == TargetHealth::State::Healthy;
 }
 
 } // namespace
@@ -257,8 +257,14 @@
   this->Next.Nodes = std::move(Live);
   this->Next.Entries =
       domainEntries(this->Next.Nodes, this->Context.Set.EntriesPerDomain);
-  for (auto &[Name, Service] : this->Services)
-    Service.Group = this->groupOf(Name);
+  for (auto &[Name, Service] : this->Services) {
+    auto Group = this->groupOf(Name);
+    if (Service.Group && *Group == *Service.Group)
+      continue;
+    Service.Group = std::move(Group);
+    if (!Service.Verdicts.empty())
+      this->rebuildService(Name, Service);
+  }
   this->configureGates();
   this->Changed = true;
 }
@@ -291,10 +297,11 @@
     Service.Gate->configure(Service.Record.Policy, this->retries());
 }
 
-std::vector<Address> DecisionLoop::groupOf(const ServiceName &Name) const {
+std::shared_ptr<const std::vector<Address>>
+DecisionLoop::groupOf(const ServiceName &Name) const {
   const ServiceRecord *Record = this->record(Name);
   if (Record == nullptr)
-    return {};
+    return std::make_shared<const std::vector<Address>>();
   const std::size_t Slots =
       Record->Targets.size() * Record->SlotsPerTarget.Value;
   const std::size_t PerDomain =
@@ -306,7 +313,7 @@
                    : serviceGroup(this->Next.Nodes, Name, PerDomain))
     if (Node.Where != this->Context.Set.FleetAddress)
       Group.push_back(Node.Where);
-  return Group;
+  return std::make_shared<const std::vector<Address>>(std::move(Group));
 }
 
 const ServiceRecord *DecisionLoop::record(const ServiceName &Name) const {
@@ -341,7 +348,7 @@
   this->noteSaidLeaving(*Record, Service, Now);
   std::vector<TargetVerdict> Verdicts = Service.Health.decide(Now);
   for (const TargetReport &Report : Service.Health.takeReports(Now))
-    this->Context.order(SendReport{Report, Service.Group});
+    this->Context.order(SendReport{Report, *Service.Group});
   const UsualLatency Usual = Service.Health.usual();
   Service.Unsettled = !std::all_of(Verdicts.begin(), Verdicts.end(), isSettled);
   if (Verdicts == Service.Verdicts &&
@@ -392,28 +399,17 @@
   return Gauge;
 }
 
-Duration DecisionLoop::trialDelay(const TargetId &Target,
-                                  const std::vector<Address> &Group) const {
-  const std::uint64_t Own =
-      rendezvousWeight(Target.str(), this->Context.Set.FleetAddress.str());
-  const bool First =
-      std::all_of(Group.begin(), Group.end(), [&](const Address &Each) {
-        return rendezvousWeight(Target.str(), Each.str()) <= Own;
-      });
-  return First ? Duration::zero() : Duration(config::TrialHandover);
-}
-
 void DecisionLoop::rebuildService(const ServiceName &Name,
                                   const Held &Service) {
   auto View = std::make_shared<ServiceView>();
   View->Record = *this->record(Name);
   View->Gate = Service.Gate;
+  View->Group = Service.Group;
   View->Typical = Service.Usual.Median;
   View->High = Service.Usual.High;
   for (std::size_t I = 0; I < Service.Verdicts.size(); ++I) {
     const TargetSpec &Spec = View->Record.Targets[I];
-    View->Targets.push_back({Spec, Service.Verdicts[I], this->gaugeOf(Spec),
-                             this->trialDelay(Spec.Id, Service.Group)});
+    View->Targets.push_back({Spec, Service.Verdicts[I], this->gaugeOf(Spec)});
   }
   this->Next.ServiceViews.set(Name, std::move(View));
 }
--- a/src/node/decision_loop.h
+++ b/src/node/decision_loop.h
@@ -31,7 +31,8 @@
 
     ServiceHealth Health;
     ServiceRecord Record; ///< With the targets that have their own records.
-    std::vector<Address> Group; ///< The other nodes that serve it.
+    /// The other nodes that serve it.
+    std::shared_ptr<const std::vector<Address>> Group;
     std::vector<TargetVerdict> Verdicts;
     std::shared_ptr<ServiceGate> Gate;
     UsualLatency Usual;
@@ -82,16 +83,14 @@
   /// What this node may spend of the fleet's retries.
   [[nodiscard]] RetryShare retries() const;
   void configureGates();
-  [[nodiscard]] std::vector<Address> groupOf(const ServiceName &Name) const;
+  [[nodiscard]] std::shared_ptr<const std::vector<Address>>
+  groupOf(const ServiceName &Name) const;
   void decideAll(Instant Now);
   void decide(const ServiceName &Name, Held &Service, Instant Now);
   void noteSaidLeaving(const ServiceRecord &Record, Held &Service, Instant Now);
   void logChanges(const ServiceName &Name,
                   const std::vector<TargetVerdict> &Old,
                   const std::vector<TargetVerdict> &New);
-  /// How much later than others this node tries a doubted target again.
-  [[nodiscard]] Duration trialDelay(const TargetId &Target,
-                                    const std::vector<Address> &Group) const;
   void rebuildService(const ServiceName &Name, const Held &Service);
   std::shared_ptr<TargetGauge> gaugeOf(const TargetSpec &Spec);
   [[nodiscard]] const ServiceRecord *record(const ServiceName &Name) const;
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -8,6 +8,7 @@
 #include "siskinstage/config.h"
 
 #include <algorithm>
+#include <cmath>
 #include <thread>
 #include <utility>
 #include <xxhash.h>
@@ -16,6 +17,15 @@
 
 namespace {
 
+/// A chance as gossip carries it.
+std::uint32_t percentOf(double Chance) {
+  constexpr double Least = 1;
+  constexpr double Most = 99;
+  constexpr double Percent = 100;
+  return static_cast<std::uint32_t>(
+      std::clamp(std::round(Chance * Percent), Least, Most));
+}
+
 /// Waits for a random part of a time that doubles with each try.
 void backOff(int Attempts, Instant Deadline) {
   constexpr int MaxDoublings = 6;
@@ -182,6 +192,12 @@
 
 void Dispatcher::observe(const TargetView &Target, Evidence What,
                          Duration Took) {
+  const ServiceView &Service = *this->Order.Service;
+  const auto Gray = Service.Gate->note(*Target.Gauge, What);
+  if (Gray && Service.Group)
+    this->Context.order(
+        SendGrayNews{{Service.Record.Name, Target.Spec.Id, percentOf(*Gray)},
+                     Service.Group});
   this->Context.observe({this->Order.Service->Record.Name, Target.Spec.Id, What,
                          Took, bootNow(), false});
 }
@@ -227,25 +243,22 @@
                             const ExchangeFailure &Failed,
                             Duration Took) const {
   const TargetVerdict &Verdict = Target.Verdict;
-  const auto DoubtAge =
-      Verdict.Doubt == 0 ? Duration::zero() : bootNow() - Verdict.DoubtedAt;
-  logEvent(
-      LogLevel::Info,
-      "request " + this->Order.Request->Id.str() + " failed at a target",
-      {{"service", this->Order.Service->Record.Name.str()},
-       {"target", Target.Spec.Id.str()},
-       {"target_domain", Target.Spec.Domain.str()},
-       {"failure", attemptFailureName(Failed.Attempt.What)},
-       {"reason", Failed.Attempt.Reason},
-       {"given_up", Failed.GivenUp ? "yes" : "no"},
-       {"took_ms",
-        std::to_string(std::chrono::duration_cast<Millis>(Took).count())},
-       {"sends", std::to_string(this->Attempts)},
-       {"in_flight_there", std::to_string(Target.Gauge->InFlight.load())},
-       {"state", targetStateName(Verdict.State)},
-       {"doubt", std::to_string(Verdict.Doubt)},
-       {"doubt_age_ms",
-        std::to_string(std::chrono::duration_cast<Millis>(DoubtAge).count())}});
+  logEvent(LogLevel::Info,
+           "request " + this->Order.Request->Id.str() + " failed at a target",
+           {{"service", this->Order.Service->Record.Name.str()},
+            {"target", Target.Spec.Id.str()},
+            {"target_domain", Target.Spec.Domain.str()},
+            {"failure", attemptFailureName(Failed.Attempt.What)},
+            {"reason", Failed.Attempt.Reason},
+            {"given_up", Failed.GivenUp ? "yes" : "no"},
+            {"took_ms",
+             std::to_string(std::chrono::duration_cast<Millis>(Took).count())},
+            {"sends", std::to_string(this->Attempts)},
+            {"in_flight_there", std::to_string(Target.Gauge->InFlight.load())},
+            {"state", targetStateName(Verdict.State)},
+            {"gray_percent_now",
+             std::to_string(percentOf(
+                 this->Order.Service->Gate->grayChance(*Target.Gauge)))}});
 }
 
 void Dispatcher::noteFailure(const TargetView &Target,
--- a/src/node/gossip_loop.cpp
+++ b/src/node/gossip_loop.cpp
@@ -5,7 +5,9 @@
 #include "net/wall_clock.h"
 #include "node/node_context.h"
 #include "node/record_intake.h"
+#include "node/service_gate.h"
 #include "node/snapshot.h"
+#include "node/target_gauge.h"
 #include "node/watcher_role.h"
 #include "siskinstage/config.h"
 
@@ -123,10 +125,12 @@
   if (const auto *News = std::get_if<RecordNews>(&Message.Body))
     this->takeNews(*News, Message.From);
   else if (const auto *Report = std::get_if<TargetReport>(&Message.Body))
-    this->Context.update(ReportArrival{
-        Report->Service, Report->Target,
-        PeerReport{Message.From.Where, Message.From.Domain, Report->What,
-                   Report->Streak, bootNow(), Report->Doubt}});
+    this->Context.update(
+        ReportArrival{Report->Service, Report->Target,
+                      PeerReport{Message.From.Where, Message.From.Domain,
+                                 Report->What, Report->Streak, bootNow()}});
+  else if (const auto *Gray = std::get_if<GrayNews>(&Message.Body))
+    this->takeGray(*Gray);
   else if (const auto *Crash = std::get_if<CrashNews>(&Message.Body))
     this->takeCrash(*Crash);
   else
@@ -139,6 +143,16 @@
     this->obey(News);
 }
 
+void GossipLoop::takeGray(const GrayNews &News) {
+  constexpr double Percent = 100;
+  const auto Service = this->Context.Snapshots.get()->service(News.Service);
+  if (!Service)
+    return;
+  for (const TargetView &Each : Service->Targets)
+    if (Each.Spec.Id == News.Target)
+      Service->Gate->adopt(*Each.Gauge, News.Percent / Percent);
+}
+
 void GossipLoop::takeNews(const RecordNews &News, const Member &From) {
   if (News.Rev <= this->Context.Records.revision(News.Key))
     return;
@@ -194,6 +208,11 @@
     this->send(To, this->Members.compose(Order.Report));
 }
 
+void GossipLoop::obey(const SendGrayNews &Order) {
+  for (const Address &To : *Order.To)
+    this->send(To, this->Members.compose(Order.News));
+}
+
 void GossipLoop::obey(const SetSeeds &Order) {
   this->Members.setSeeds(Order.Seeds);
 }
--- a/src/node/gossip_loop.h
+++ b/src/node/gossip_loop.h
@@ -43,10 +43,12 @@
   void take(const GossipMessage &Message);
   void takeNews(const RecordNews &News, const Member &From);
   void takeCrash(const CrashNews &News);
+  void takeGray(const GrayNews &News);
   void compareDigests(const GossipMessage &Message);
   void takeOrders();
   void obey(const AnnounceRecord &Order);
   void obey(const SendReport &Order);
+  void obey(const SendGrayNews &Order);
   void obey(const SetSeeds &Order);
   void obey(const SetBlind &Order);
   void obey(const CrashNews &Order);
--- a/src/node/gossip_order.h
+++ b/src/node/gossip_order.h
@@ -4,6 +4,7 @@
 #include "core/gossip_message.h"
 #include "core/news_spread.h"
 
+#include <memory>
 #include <variant>
 #include <vector>
 
@@ -21,6 +22,12 @@
   std::vector<Address> To;
 };
 
+/// Tells the named nodes how likely a target is gray.
+struct SendGrayNews {
+  GrayNews News;
+  std::shared_ptr<const std::vector<Address>> To;
+};
+
 /// Addresses at which lost parts of the fleet may be found.
 struct SetSeeds {
   std::vector<Address> Seeds;
@@ -32,8 +39,9 @@
 };
 
 /// What the other threads ask of the gossip thread.
-using GossipOrder = std::variant<AnnounceRecord, SendReport, SetSeeds,
-                                 SetBlind, CrashNews, std::vector<Member>>;
+using GossipOrder =
+    std::variant<AnnounceRecord, SendReport, SendGrayNews, SetSeeds, SetBlind,
+                 CrashNews, std::vector<Member>>;
 
 /// Reads what differs from a peer: its records, or its table of members.
 struct SyncTask {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -126,8 +126,10 @@
   const Instant Limit = bootNow() + Shared.Set.ShutdownLimit;
   Shared.Stop.sleep(Shared.Set.AcceptLinger);
   this->Callers->stopAccepting();
-  while (Shared.CallerConnections.load() > 0 && bootNow() < Limit)
+  while (Shared.CallerConnections.load() > 0 && bootNow() < Limit) {
+    this->Callers->closeIdle();
     Shared.Stop.sleep(config::DecisionPeriod);
+  }
   while (Shared.RequestsInFlight.load() > 0 && bootNow() < Limit)
     Shared.Stop.sleep(config::DecisionPeriod);
   logEvent(LogLevel::Info, "the node has drained",
--- a/src/node/request_flow.cpp
+++ b/src/node/request_flow.cpp
@@ -410,7 +410,6 @@
             {"service", this->Service->Record.Name.str()},
             {"target", Target.Spec.Id.str()},
             {"target_domain", Target.Spec.Domain.str()},
-            {"doubt", std::to_string(Target.Verdict.Doubt)},
             {"sent_to", std::to_string(Answer.Sends)},
             {"took_ms", std::to_string(Took.count())}});
 }
--- a/src/node/service_gate.cpp
+++ b/src/node/service_gate.cpp
@@ -1,5 +1,5 @@
 #include "node/service_gate.h"
-#include "core/doubt.h"
+#include "core/gray_handicap.h"
 #include "core/suspicion.h"
 #include "net/boot_time.h"
 #include "node/snapshot_holder.h"
@@ -13,10 +13,6 @@
 
 namespace {
 
-Doubt doubtOf(const TargetView &Target) {
-  return {Target.Verdict.Doubt, Target.Verdict.DoubtedAt, Target.TrialDelay};
-}
-
 bool isNear(const TargetView &Target, const PlacementOrder &Order) {
   return !Order.Own.empty() && Target.Spec.Domain == Order.Own;
 }
@@ -26,12 +22,11 @@
 double handicapOf(const ServiceView &View, const TargetView &Target,
                   const PlacementOrder &Order, std::uint32_t InFlight,
                   Instant Now) {
-  const double Doubted =
-      doubtHandicap(doubtOf(Target), InFlight, Order.Kind, Now);
-  const double Hangs =
-      hangChance(Target.Gauge->Started, {View.Typical, View.High}, Now);
+  const double Gray =
+      hangChance(Target.Gauge->Gray.chance(Now), Target.Gauge->Started,
+                 {View.Typical, View.High}, Now);
   const bool Far = Order.LargeBody && !isNear(Target, Order);
-  return Doubted + Hangs * config::HangHandicap +
+  return grayHandicap(Gray, InFlight, Order.Kind) +
          (Far ? config::LargeBodyHandicap : 0);
 }
 
@@ -130,6 +125,23 @@
   return TargetLease(this->shared_from_this(), Target, Now);
 }
 
+std::optional<double> ServiceGate::note(TargetGauge &Gauge, Evidence What) {
+  const Instant Now = bootNow();
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  Gauge.Gray.note(What, Now);
+  return Gauge.Gray.news(What, Now);
+}
+
+void ServiceGate::adopt(TargetGauge &Gauge, double GrayChance) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  Gauge.Gray.adopt(GrayChance, bootNow());
+}
+
+double ServiceGate::grayChance(const TargetGauge &Gauge) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  return Gauge.Gray.chance(bootNow());
+}
+
 bool ServiceGate::hasSoundRoom(const ServiceView &View,
                                const PlacementOrder &Order) {
   const std::lock_guard<std::mutex> Guard(this->Lock);
--- a/src/node/service_gate.h
+++ b/src/node/service_gate.h
@@ -1,6 +1,7 @@
 #ifndef SISKINSTAGE_NODE_SERVICE_GATE_H
 #define SISKINSTAGE_NODE_SERVICE_GATE_H
 
+#include "core/observation.h"
 #include "core/pick.h"
 #include "core/repeatability.h"
 #include "core/retry_budget.h"
@@ -11,6 +12,7 @@
 #include <condition_variable>
 #include <cstdint>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <tl/expected.hpp>
 
@@ -55,8 +57,15 @@
   /// \param Placed when the request that held it was placed.
   void leave(TargetGauge &Gauge, Instant Placed);
 
-  /// Whether a target that was not tried has a free slot and is not doubted, so
-  /// that work which waits elsewhere would be better off there.
+  /// Takes in what a request showed of a target.
+  /// \returns the chance that it is gray, if the other nodes should hear of it.
+  std::optional<double> note(TargetGauge &Gauge, Evidence What);
+  /// Takes over what another node believes of a target.
+  void adopt(TargetGauge &Gauge, double GrayChance);
+  [[nodiscard]] double grayChance(const TargetGauge &Gauge);
+
+  /// Whether a target that was not tried has a free slot and is probably sound,
+  /// so that work which waits elsewhere would be better off there.
   [[nodiscard]] bool hasSoundRoom(const ServiceView &View,
                                   const PlacementOrder &Order);
 
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -162,8 +162,9 @@
   double Share = 0;
   if (!Poco::NumberParser::tryParseFloat(Value, Share) || !(Share >= 0) ||
       Share > Most) {
-    Faults.push_back({Step::Settings, Name,
-                      "found " + Value + ", allowed is a number from 0 to 1024"});
+    Faults.push_back(
+        {Step::Settings, Name,
+         "found " + Value + ", allowed is a number from 0 to 1024"});
     return 0;
   }
   return static_cast<std::uint32_t>(Share * Thousandths);
--- a/src/node/snapshot.h
+++ b/src/node/snapshot.h
@@ -22,8 +22,6 @@
   TargetSpec Spec;
   TargetVerdict Verdict;
   std::shared_ptr<TargetGauge> Gauge;
-  /// How much later than the first of the group this node tries it again.
-  Duration TrialDelay{};
 };
 
 /// One service as handlers see it.
@@ -31,6 +29,8 @@
   ServiceRecord Record;
   std::vector<TargetView> Targets;
   std::shared_ptr<ServiceGate> Gate;
+  /// The other nodes that serve it and hear of its targets.
+  std::shared_ptr<const std::vector<Address>> Group;
   Duration Typical{}; ///< Usual latency, zero if not known.
   Duration High{};    ///< Usual high latency, zero if not known.
 };
--- a/src/node/state_dump.cpp
+++ b/src/node/state_dump.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-Json::Value targetDump(const TargetView &Target) {
+Json::Value targetDump(const TargetView &Target, ServiceGate &Gate) {
   const ConnectionPool::Stats Pool = Target.Gauge->Pool.stats();
   Json::Value Dump(Json::objectValue);
   Dump["id"] = Target.Spec.Id.str();
@@ -23,6 +23,7 @@
   Dump["ejected_by_group"] = Target.Verdict.ByGroup;
   Dump["share"] = Target.Verdict.Share;
   Dump["reason"] = Target.Verdict.Reason;
+  Dump["gray_chance"] = Gate.grayChance(*Target.Gauge);
   Dump["ejections"] = Target.Verdict.Ejections;
   Dump["in_flight"] = Target.Gauge->InFlight.load();
   Dump["reported_in_flight"] = Target.Gauge->load(bootNow());
@@ -50,7 +51,7 @@
   Dump["retries_left"] = Gate.RetriesLeft;
   Json::Value &Targets = Dump["targets"] = Json::Value(Json::arrayValue);
   for (const TargetView &Target : Service.Targets)
-    Targets.append(targetDump(Target));
+    Targets.append(targetDump(Target, *Service.Gate));
   return Dump;
 }
 
--- a/src/node/target_gauge.h
+++ b/src/node/target_gauge.h
@@ -1,6 +1,7 @@
 #ifndef SISKINSTAGE_NODE_TARGET_GAUGE_H
 #define SISKINSTAGE_NODE_TARGET_GAUGE_H
 
+#include "core/gray_belief.h"
 #include "node/connection_pool.h"
 #include "siskinstage/config.h"
 
@@ -19,6 +20,7 @@
   ConnectionPool Pool;
   /// When the requests in flight were placed; guarded by the service's gate.
   std::vector<Instant> Started;
+  GrayBelief Gray; ///< Guarded by the service's gate, too.
 
   /// Notes the requests that the target stated in an answer.
   void noteLoad(std::uint32_t Requests, Instant Now) {
--- a/src/node/watcher_role.cpp
+++ b/src/node/watcher_role.cpp
@@ -11,7 +11,8 @@
   std::vector<SteeringNode> All;
   std::vector<SteeringNode> Seeing;
   for (const Member &Each : Live) {
-    All.push_back({Each.Id, Each.Where, Each.Domain, Each.Capacity, Each.Blind});
+    All.push_back(
+        {Each.Id, Each.Where, Each.Domain, Each.Capacity, Each.Blind});
     if (!Each.Blind)
       Seeing.push_back(All.back());
   }
@@ -30,8 +31,8 @@
     return 0;
   const auto View = Context.Members.load();
   const std::vector<SteeringNode> &Chosen = View->Watchers;
-  const auto Own = std::find_if(
-      Chosen.begin(), Chosen.end(), [&](const SteeringNode &Each) {
+  const auto Own =
+      std::find_if(Chosen.begin(), Chosen.end(), [&](const SteeringNode &Each) {
         return Each.Where == Context.Set.FleetAddress;
       });
   if (Own == Chosen.end())
--- a/tests/integration/test_connections.py
+++ b/tests/integration/test_connections.py
@@ -1,6 +1,7 @@
 """What connections cost a node: threads, and what ends an idle one."""
 
 import pathlib
+import signal
 import socket
 import time
 import unittest
@@ -10,6 +11,7 @@
 IDLE_CONNECTIONS = 1000
 THREADS_AT_REST = 12
 THREADS_UNDER_CONNECTIONS = 24
+DRAIN_IDLE_S = 3
 
 
 def threads_of(process):
@@ -64,6 +66,24 @@
                     self.assertTrue(data, "the connection ended")
                     got += data
 
+    def test_a_draining_node_serves_kept_connections_for_a_time_only(self):
+        """A request taken just before the end would be cut with it."""
+        with PlatformFleet(nodes=2, servers=1) as fleet:
+            node = fleet.nodes[0]
+            used, idle = (socket.create_connection((node, FRONT))
+                          for _ in range(2))
+            self.assertIn(b" 200 ", request(used, 1))
+            begin = time.monotonic()
+            fleet.signal(node, signal.SIGTERM)
+            time.sleep(1)
+            self.assertIn(b" 200 ", request(used, 2))
+            idle.settimeout(10)
+            self.assertEqual(idle.recv(1), b"")
+            self.assertAlmostEqual(time.monotonic() - begin, DRAIN_IDLE_S,
+                                   delta=0.5)
+            idle.close()
+            used.close()
+
     def test_a_half_sent_head_holds_up_nobody(self):
         with PlatformFleet(nodes=1, servers=1) as fleet:
             node = fleet.nodes[0]
--- a/tests/unit/fleet_share_test.cpp
+++ b/tests/unit/fleet_share_test.cpp
@@ -6,9 +6,9 @@
 #include "siskinstage/config.h"
 
 #include <algorithm>
+#include <gtest/gtest.h>
 #include <map>
 #include <set>
-#include <gtest/gtest.h>
 
 namespace siskinstage {
 namespace {
