--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -252,10 +252,12 @@
 /// A datagram whose time stamp is further off than this is refused.
 inline constexpr std::chrono::milliseconds GossipClockTolerance = 60s;
 inline constexpr std::size_t MaxReplaySenders = 20'000;
-/// A whole table of members is asked for at most once in this time, and at most
-/// once in the time for each member.
-inline constexpr std::chrono::milliseconds MemberSyncPeriod = 10s;
-inline constexpr std::chrono::milliseconds MemberSyncPerMember = 100ms;
+/// Time between two questions for a whole table of members: as soon as a table
+/// has told much, twice as long after each that told little.
+inline constexpr std::chrono::milliseconds MemberSyncLeast = 300ms;
+inline constexpr std::chrono::milliseconds MemberSyncMost = 20s;
+/// A table told much if one of so many members in it was new.
+inline constexpr std::size_t MemberSyncNewPart = 20;
 
 /// A node that has heard of no other for so long reads the platform itself: a
 /// few periods, in each of which a datagram or more is usual.
@@ -272,6 +274,9 @@
 /// A record is told to all nodes of a failure domain with up to so many others:
 /// one burst of datagrams of 20 KB in all.
 inline constexpr std::size_t NewsDirectMembers = 24;
+/// And by a large machine among small ones with up to so many: 250 KB of routes
+/// for each of them take its link of 200 Mbit/s about a second.
+inline constexpr std::size_t NewsDirectFromLarge = 120;
 inline constexpr std::size_t MaxInlineRecordBytes = 700;
 inline constexpr std::chrono::milliseconds RecordSyncPeriod = 1s;
 inline constexpr std::size_t DigestBuckets = 256;
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -173,7 +173,8 @@
   Entry.Is = Claim;
   Entry.Since = Now;
   Entry.Confirmed.clear();
-  this->enqueue(Claim);
+  if (!this->Merging)
+    this->enqueue(Claim);
 }
 
 void Membership::apply(const Member &Claim, Instant Now) {
@@ -208,7 +209,9 @@
   Entry.Confirmed.insert(Claim.SuspectedBy);
 }
 
-void Membership::merge(const std::vector<Member> &Others, Instant Now) {
+std::size_t Membership::merge(const std::vector<Member> &Others, Instant Now) {
+  const std::size_t Before = this->liveCount();
+  this->Merging = true;
   for (const Member &Claim : Others) {
     // A table is second-hand: who is suspect there is only known here.
     Member Softened = Claim;
@@ -217,6 +220,9 @@
     Softened.SuspectedBy = Address();
     this->apply(Softened, Now);
   }
+  this->Merging = false;
+  const std::size_t After = this->liveCount();
+  return After - std::min(Before, After);
 }
 
 void Membership::suspect(const Address &Where, Instant Now) {
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -40,8 +40,10 @@
   /// Takes in a message. \returns the answers.
   std::vector<OutgoingGossip> receive(const GossipMessage &Message,
                                       Instant Now);
-  /// Takes over what another node knows of the members.
-  void merge(const std::vector<Member> &Known, Instant Now);
+  /// Takes over what another node knows of the members. What a table tells is
+  /// not passed on: the others ask for tables, too.
+  /// \returns how many live members were new.
+  std::size_t merge(const std::vector<Member> &Known, Instant Now);
   /// Says that this node leaves. \returns the farewell messages.
   std::vector<OutgoingGossip> leave(Instant Now);
 
@@ -105,6 +107,7 @@
   int Slowness = 0;
   std::uint64_t Suspicions = 0;
   std::uint64_t Refutations = 0;
+  bool Merging = false; ///< What is learned now is not passed on.
 
   void apply(const Member &Claim, Instant Now);
   void applyAboutSelf(const Member &Claim);
--- a/src/core/news_spread.cpp
+++ b/src/core/news_spread.cpp
@@ -18,27 +18,68 @@
   Members.resize(std::min(Count, Members.size()));
 }
 
+/// Leaves the machines of large capacity: they have the links that carry a long
+/// record to the whole of their domain.
+void keepLarge(std::vector<Member> &Members) {
+  std::uint32_t Largest = 0;
+  for (const Member &Each : Members)
+    Largest = std::max(Largest, Each.Capacity);
+  std::erase_if(Members, [&](const Member &Each) {
+    return Each.Capacity * config::LargeCapacityFactor < Largest;
+  });
+}
+
+std::vector<Address> addressesOf(const std::vector<Member> &Members) {
+  std::vector<Address> Addresses;
+  for (const Member &Each : Members)
+    Addresses.push_back(Each.Where);
+  return Addresses;
+}
+
+/// Whom a node tells in its own domain of \p Others.
+std::vector<Address> ownRecipients(const std::vector<Member> &Others,
+                                   const Member &Self, NewsSource Source,
+                                   Random &Dice) {
+  std::vector<Member> Large = Others;
+  Large.push_back(Self);
+  const std::size_t All = Large.size();
+  keepLarge(Large);
+  const bool Mixed = Large.size() < All;
+  const bool IsLarge =
+      std::any_of(Large.begin(), Large.end(),
+                  [&](const Member &Each) { return Each.Where == Self.Where; });
+  const std::size_t Direct = Mixed && IsLarge ? config::NewsDirectFromLarge
+                                              : config::NewsDirectMembers;
+  std::vector<Address> To = addressesOf(Others);
+  if (To.size() <= Direct) {
+    if (Source == NewsSource::OwnDomain)
+      To.clear();
+    return To;
+  }
+  // A large machine has told everyone, or does so now.
+  drawSome(To, Mixed ? 1 : config::NewsFanout, Dice);
+  return To;
+}
+
 } // namespace
 
 std::vector<Address> newsRecipients(const std::vector<Member> &Live,
                                     const Member &Self, NewsSource Source,
                                     Random &Dice) {
-  std::map<FailureDomain, std::vector<Address>> Domains;
+  std::map<FailureDomain, std::vector<Member>> Domains;
   for (const Member &Each : Live)
     if (Each.Where != Self.Where)
-      Domains[Each.Domain].push_back(Each.Where);
-  std::vector<Address> To = std::move(Domains[Self.Domain]);
+      Domains[Each.Domain].push_back(Each);
+  std::vector<Address> To =
+      ownRecipients(Domains[Self.Domain], Self, Source, Dice);
   Domains.erase(Self.Domain);
-  const bool Large = To.size() > config::NewsDirectMembers;
-  if (Large)
-    drawSome(To, config::NewsFanout, Dice);
-  else if (Source == NewsSource::OwnDomain)
-    To.clear();
   if (Source != NewsSource::Platform)
     return To;
   for (auto &[Domain, Members] : Domains) {
-    drawSome(Members, config::NewsFarFanout, Dice);
-    To.insert(To.end(), Members.begin(), Members.end());
+    keepLarge(Members);
+    std::vector<Address> Far = addressesOf(Members);
+    drawSome(Far, config::NewsFarFanout, Dice);
+    To.insert(To.end(), Far.begin(), Far.end());
   }
   return To;
 }
--- a/src/node/gossip_loop.cpp
+++ b/src/node/gossip_loop.cpp
@@ -24,6 +24,9 @@
 
 /// What operators see of members that did not change is no older.
 constexpr std::chrono::milliseconds ShowPeriod{2000};
+/// Changes within it are decided on together: each works out entries, watchers
+/// and groups anew, and when many start at once each tick brings some.
+constexpr std::chrono::milliseconds ChangeShowPeriod{150};
 constexpr int MaxDatagramsAtOnce = 256;
 constexpr int ReceiveBufferBytes = 1024 * 1024;
 
@@ -180,13 +183,9 @@
   if (Message.MembersDigest == this->Members.digest() ||
       Now < this->NextMemberSync)
     return;
-  const auto Known = static_cast<std::int64_t>(this->Members.live().size());
-  // The first table is asked for at once, later ones seldom.
-  const bool Alone = Known <= 2;
-  this->NextMemberSync =
-      Now + (Alone ? Duration(config::GossipPeriod)
-                   : std::max<Duration>(config::MemberSyncPeriod,
-                                        config::MemberSyncPerMember * Known));
+  this->NextMemberSync = Now + this->MemberSyncPause;
+  this->MemberSyncPause =
+      std::min<Duration>(this->MemberSyncPause * 2, config::MemberSyncMost);
   this->Context.sync(
       {SyncTask::Kind::Members, Message.From.Where, Message.From.Domain, {}});
 }
@@ -231,7 +230,11 @@
 }
 
 void GossipLoop::obey(const std::vector<Member> &Table) {
-  this->Members.merge(Table, bootNow());
+  const std::size_t Learned = this->Members.merge(Table, bootNow());
+  // Where many start at once, each table knows of others: the next one is asked
+  // for soon, until tables tell little.
+  if (Learned * config::MemberSyncNewPart >= Table.size())
+    this->MemberSyncPause = config::MemberSyncLeast;
 }
 
 void GossipLoop::send(const std::vector<OutgoingGossip> &Out) {
@@ -264,9 +267,10 @@
 
 void GossipLoop::show(Instant Now) {
   const bool Changed = this->Members.version() != this->ShownVersion;
-  if (!Changed && Now < this->NextShow)
+  if (Now < (Changed ? this->NextChangeShow : this->NextShow))
     return;
   this->NextShow = Now + ShowPeriod;
+  this->NextChangeShow = Now + ChangeShowPeriod;
   auto View = std::make_shared<MembersView>();
   View->All = this->Members.members();
   View->Live = this->Members.live();
--- a/src/node/gossip_loop.h
+++ b/src/node/gossip_loop.h
@@ -4,6 +4,7 @@
 #include "core/gossip_seal.h"
 #include "core/membership.h"
 #include "node/gossip_order.h"
+#include "siskinstage/config.h"
 #include "siskinstage/error.h"
 
 #include <Poco/Net/DatagramSocket.h>
@@ -32,8 +33,10 @@
   GossipSeal Seal;
   std::uint64_t ShownVersion = 0;
   Instant NextShow;
+  Instant NextChangeShow;
   Instant NextRecordSync;
   Instant NextMemberSync;
+  Duration MemberSyncPause = config::MemberSyncLeast;
   bool SaidFarewell = false;
   std::unordered_map<Address, Poco::Net::SocketAddress> Resolved;
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -14,6 +14,8 @@
 #include "node/snapshot.h"
 #include "siskinstage/config.h"
 
+#include <functional>
+#include <pthread.h>
 #include <random>
 
 namespace siskinstage {
@@ -87,20 +89,25 @@
 
 void Node::startThreads(std::uint64_t Seed, const NodeAdapter &Adapter) {
   NodeContext &Shared = *this->Context;
-  this->Threads.emplace_back([&Shared] { DecisionLoop(Shared).run(); });
-  this->Threads.emplace_back([this] { this->Gossip->run(); });
-  this->Threads.emplace_back([&Shared] { PeerSync(Shared).run(); });
+  const auto Start = [this](const char *Duty, std::function<void()> Run) {
+    this->Threads.emplace_back(std::move(Run));
+    // Shown by the system's tools; at most 15 characters.
+    pthread_setname_np(this->Threads.back().native_handle(), Duty);
+  };
+  Start("decisions", [&Shared] { DecisionLoop(Shared).run(); });
+  Start("gossip", [this] { this->Gossip->run(); });
+  Start("peer-sync", [&Shared] { PeerSync(Shared).run(); });
   if (Adapter.ReadConfiguration) {
-    this->Threads.emplace_back(
-        [&Shared, Read = Adapter.ReadConfiguration] { Read(Shared); });
+    Start("configuration",
+          [&Shared, Read = Adapter.ReadConfiguration] { Read(Shared); });
   } else {
-    this->Threads.emplace_back(
-        [&Shared, Seed] { PlatformClient(Shared, Seed).watchRecords(); });
-    this->Threads.emplace_back(
-        [&Shared, Seed] { PlatformClient(Shared, Seed).readInstances(); });
+    Start("configuration",
+          [&Shared, Seed] { PlatformClient(Shared, Seed).watchRecords(); });
+    Start("instances",
+          [&Shared, Seed] { PlatformClient(Shared, Seed).readInstances(); });
   }
   if (Shared.Set.ProbePeriod > Millis::zero())
-    this->Threads.emplace_back([&Shared, Seed] { Prober(Shared, Seed).run(); });
+    Start("probes", [&Shared, Seed] { Prober(Shared, Seed).run(); });
 }
 
 void Node::reload() {
--- a/src/node/peer_api.cpp
+++ b/src/node/peer_api.cpp
@@ -81,7 +81,9 @@
 
 Json::Value membersValue(NodeContext &Context) {
   Json::Value List(Json::arrayValue);
-  for (const Member &Each : Context.Members.load()->Live)
+  // Held for as long as the loop runs: the gossip thread swaps in a new one.
+  const auto View = Context.Members.load();
+  for (const Member &Each : View->Live)
     List.append(encodeMember(Each));
   return List;
 }
--- a/tests/unit/fleet_share_test.cpp
+++ b/tests/unit/fleet_share_test.cpp
@@ -69,6 +69,31 @@
   EXPECT_EQ(To.size(), config::NewsFanout);
 }
 
+TEST(NewsSpread, LargeMachinesCarryNewsOfALargeDomain) {
+  Random Dice(1);
+  auto Live = members(75);
+  for (Member &Each : Live)
+    Each.Capacity = 100;
+  for (int Domain = 0; Domain < 4; ++Domain)
+    for (int I = 0; I < 3; ++I)
+      Live[static_cast<std::size_t>(Domain * 75 + I)].Capacity = 500;
+  // From a watcher to large machines of other domains alone.
+  const auto Far = newsRecipients(Live, Live[0], NewsSource::Platform, Dice);
+  EXPECT_EQ(countIn(Far, 0), 74U);
+  for (const Member &Each : Live) {
+    const bool Small = Each.Capacity == 100;
+    if (Small && Each.Domain != Live[0].Domain) {
+      EXPECT_EQ(std::count(Far.begin(), Far.end(), Each.Where), 0);
+    }
+  }
+  // They tell all of their domain, whose other machines need not.
+  EXPECT_EQ(
+      newsRecipients(Live, Live[75], NewsSource::OtherDomain, Dice).size(),
+      74U);
+  EXPECT_EQ(newsRecipients(Live, Live[100], NewsSource::OwnDomain, Dice).size(),
+            1U);
+}
+
 std::vector<SteeringNode> steered(int PerDomain) {
   std::vector<SteeringNode> Nodes;
   for (const Member &Each : members(PerDomain))
