Answers without end are ended by the route's time

Ruled out, as they ended in time before: a head without line ends or of endless lines, one header line, a chunk extension, a trailer, a byte at a time, bytes behind a whole answer.

Change: at most 16 heads before the final one; a streamed answer is broken off at the deadline that caller or route have stated, visibly incomplete. Where nobody states one only a stall ends it, as before.

Left: an answer with neither length nor chunks is refused as 502, though the users' pages allow it (design/platform.md, open).

--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -153,7 +153,8 @@
                             this->overdueAfter(),
                             [this, &Target, Started = bootNow()] {
                               return this->giveUpOverdue(Target, Started);
-                            }};
+                            },
+                            this->Order.StreamEnd};
   auto Running =
       std::make_unique<TargetExchange>(std::move(*Taken), std::move(Exchange));
   const auto Ran = Running->run();
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -35,6 +35,8 @@
   Repeatability Kind = Repeatability::AtMostOnce;
   RouteLimits Limits;
   Instant Deadline;
+  /// See ExchangeOrder.
+  std::optional<Instant> StreamEnd;
   /// Watched, so that work whose caller has gone is cancelled; null for keyed
   /// requests, whose caller may come back for the answer.
   const Wire *Caller = nullptr;
--- a/src/node/request_flow.cpp
+++ b/src/node/request_flow.cpp
@@ -364,6 +364,8 @@
   Order.Service = this->Service;
   Order.Kind = this->Kind;
   Order.Deadline = this->Deadline;
+  if (this->Request.TimeLeft || this->Limits.Timeout > Millis::zero())
+    Order.StreamEnd = this->Deadline;
   Order.Caller = OwnedKey.empty() ? &this->Caller : nullptr;
   Order.OwnedKey = OwnedKey;
   return Dispatcher(this->Context, std::move(Order)).run();
--- a/src/node/target_exchange.cpp
+++ b/src/node/target_exchange.cpp
@@ -135,7 +135,11 @@
 
 ExchangeResult<void> TargetExchange::readAnswerHead() {
   const Instant Limit = this->Order.Deadline;
-  while (true) {
+  for (int Heads = 0;; ++Heads) {
+    // Heads that are there already are read without a look at the time.
+    if (Heads > config::MaxInterimAnswers)
+      return tl::unexpected<ExchangeFailure>(this->failure(
+          Kind::BadAnswer, HttpRefusal{502, "interim answers without an end"}));
     const auto Lines = this->awaitHead(Limit);
     if (!Lines) {
       const bool Malformed = std::holds_alternative<HttpRefusal>(Lines.error());
@@ -303,8 +307,16 @@
 
 ExchangeResult<std::string> TargetExchange::nextPart() {
   std::string Part;
-  const auto Read = this->Reader->read(this->Taken.Connection, Part,
-                                       bootNow() + config::BodyStallTimeout);
+  const Instant Now = bootNow();
+  const Instant End =
+      this->Order.StreamEnd.value_or(Now + config::BodyStallTimeout);
+  if (Now >= End)
+    return tl::unexpected<ExchangeFailure>(this->failure(
+        Kind::CutAnswer, WireFault{WireFault::Kind::Timeout,
+                                   "the answer goes on past its time"}));
+  const auto Read =
+      this->Reader->read(this->Taken.Connection, Part,
+                         std::min(End, Now + config::BodyStallTimeout));
   if (!Read)
     return tl::unexpected<ExchangeFailure>(
         this->failure(Kind::CutAnswer, Read.error()));
--- a/src/node/target_exchange.h
+++ b/src/node/target_exchange.h
@@ -32,6 +32,9 @@
   Duration OverdueAfter{};
   /// \returns whether the try is to be given up.
   std::function<bool()> OnOverdue;
+  /// When a long answer is broken off, however it goes on; none where nobody
+  /// has said how long it may take.
+  std::optional<Instant> StreamEnd;
 };
 
 /// How one try failed.
--- /dev/null
+++ b/tests/integration/test_endless_answers.py
@@ -0,0 +1,165 @@
+"""Targets that send bytes without end: each request ends at its route's timeout
+at the latest, in bounded memory, with a truth for its caller, and the
+connection is not used again."""
+
+import pathlib
+import socket
+import threading
+import time
+import unittest
+
+from fleet import NODE_PORT, Fleet, call
+
+PORT = 10498
+TIMEOUT_S = 1.5
+SLACK_S = 0.5
+#: Far above what one answer may hold, far below what a case sends.
+MEMORY_GROWTH_MB = 16
+ROUTES = [
+    {"schema": 2, "kind": "service", "name": "endless", "revision": 1,
+     "targets": [{"id": "endless-1", "address": f"127.0.0.1:{PORT}"}]},
+    {"schema": 2, "kind": "route", "name": "endless", "revision": 1,
+     "path_prefix": "/", "service": "endless",
+     "timeout_ms": int(TIMEOUT_S * 1000)},
+]
+OK = b"HTTP/1.1 200 OK\r\n"
+BLOCK = b"x" * 65536
+#: What comes first, and what comes again and again, after a pause in seconds.
+CASES = {
+    "head-without-line-ends": (b"", BLOCK, 0),
+    "head-of-lines": (OK, b"A: b\r\n" * 4096, 0),
+    "header-line": (OK + b"A: ", BLOCK, 0),
+    "interim-answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 512, 0),
+    "slow-interim-answers": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n", 0.05),
+    "chunk-extension": (OK + b"Transfer-Encoding: chunked\r\n\r\n5;a=", BLOCK, 0),
+    "trailer": (OK + b"Transfer-Encoding: chunked\r\n\r\n0\r\n", b"A: b\r\n" * 4096, 0),
+    "chunks": (OK + b"Transfer-Encoding: chunked\r\n\r\n",
+               b"10000\r\n" + BLOCK + b"\r\n", 0.01),
+    "body-without-length": (OK + b"\r\n", BLOCK, 0.01),
+    "slow-body": (OK + b"\r\n", b"x", 0.3),
+    "slow-head": (b"", b"H", 0.3),
+}
+
+
+class EndlessTarget(threading.Thread):
+    """Sends what the path's case says until the node closes."""
+
+    def __init__(self):
+        super().__init__(daemon=True)
+        self.listener = socket.create_server(("127.0.0.1", PORT))
+        self.ended = {}
+
+    def run(self):
+        while True:
+            peer, _ = self.listener.accept()
+            threading.Thread(target=self.serve, args=(peer,),
+                             daemon=True).start()
+
+    def serve(self, peer):
+        got = b""
+        while b"\r\n\r\n" not in got:
+            data = peer.recv(65536)
+            if not data:
+                return
+            got += data
+        name = got.split(b" ")[1].decode().strip("/").split("/")[-1]
+        if name not in CASES:
+            extra = b"more" * 1000 if name == "extra" else b""
+            peer.sendall(OK + b"Content-Length: 2\r\n\r\nok" + extra)
+            peer.close()
+            return
+        first, again, pause = CASES[name]
+        begin = time.monotonic()
+        try:
+            peer.sendall(first)
+            while time.monotonic() - begin < 20:
+                peer.sendall(again)
+                time.sleep(pause)
+        except OSError:
+            pass
+        self.ended[name] = time.monotonic() - begin
+        peer.close()
+
+
+def ask_raw(path):
+    """All bytes of the answer, and whether the connection ended in order."""
+    with socket.create_connection(("127.0.0.1", NODE_PORT)) as peer:
+        peer.settimeout(10)
+        peer.sendall(f"GET /{path} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+        answer = b""
+        try:
+            while True:
+                data = peer.recv(65536)
+                if not data:
+                    return answer, True
+                answer += data
+                if b"Siskinstage-Outcome" in answer:
+                    return answer, True
+        except ConnectionResetError:
+            return answer, False
+
+
+class EndlessAnswers(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.target = EndlessTarget()
+        cls.target.start()
+        cls.fleet = Fleet(nodes=1).__enter__()
+        cls.fleet.publish(ROUTES)
+        for _ in range(100):
+            if call(NODE_PORT, "GET", "/plain")[0] == 200:
+                break
+            time.sleep(0.05)
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.fleet.stop()
+        cls.target.listener.close()
+
+    def peak_mb(self):
+        text = pathlib.Path(
+            f"/proc/{self.fleet.pid('node-0')}/status").read_text()
+        line = next(each for each in text.splitlines()
+                    if each.startswith("VmHWM"))
+        return int(line.split()[1]) / 1024
+
+    def test_each_ends_at_its_timeout_in_bounded_memory(self):
+        before = self.peak_mb()
+        for name in CASES:
+            with self.subTest(name):
+                begin = time.monotonic()
+                answer, in_order = ask_raw(name)
+                took = time.monotonic() - begin
+                self.assertLess(took, TIMEOUT_S + SLACK_S)
+                if answer.startswith(OK):
+                    # Its head has gone out: the cut must show.
+                    whole = in_order and answer.endswith(b"0\r\n\r\n")
+                    self.assertFalse(whole, "a cut answer looks complete")
+                    self.assertFalse(in_order, "a cut answer ended in order")
+                else:
+                    self.assertIn(b"unknown", answer)
+                # A slow sender finds out with its second write.
+                deadline = time.monotonic() + 3 * SLACK_S
+                while name not in self.target.ended and \
+                        time.monotonic() < deadline:
+                    time.sleep(0.01)
+                self.assertIn(name, self.target.ended,
+                              "the target's connection is still open")
+        self.assertLess(self.peak_mb() - before, MEMORY_GROWTH_MB)
+
+    def test_others_are_served_meanwhile(self):
+        threads = [threading.Thread(target=ask_raw, args=(name,))
+                   for name in CASES]
+        for each in threads:
+            each.start()
+        served = sum(call(NODE_PORT, "GET", f"/plain/{i}")[0] == 200
+                     for i in range(20))
+        for each in threads:
+            each.join()
+        self.assertGreaterEqual(served, 18)
+
+    def test_bytes_behind_an_answer_reach_nobody(self):
+        for _ in range(3):
+            status, body = call(NODE_PORT, "GET", "/extra")
+            self.assertEqual((status, body), (200, "ok"))
+            self.assertEqual(call(NODE_PORT, "GET", "/plain")[0], 200)
