Small fleets keep two watchers a domain: three were cut or refused at once

Suspicion stretches when many members fail at once.

Ruled out: taking suspects out of the ranks alone.

Change: up to 64 nodes two watchers a domain that all read at once, above that one a domain, at least three, the first prompt and the others lagging.

Fleets above 64 nodes still lean on four to six watchers: open.

Also tried and reverted: a refusal as evidence of a gray spell.

--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -267,9 +267,13 @@
 inline constexpr std::chrono::milliseconds GossipSilence = 1200ms;
 
 // Configuration between nodes.
-/// Nodes of the whole fleet that read the platform. The first passes nearly all
-/// news on; the others stand in when it is lost or refused.
-inline constexpr std::size_t PlatformWatchers = 3;
+/// Nodes of each failure domain that read the platform in a fleet of up to so
+/// many nodes; in a larger one it is one of each domain.
+inline constexpr std::size_t WatchersPerDomain = 2;
+inline constexpr std::size_t SmallFleetNodes = 64;
+/// The first passes nearly all news on; the others stand in when it is lost or
+/// refused.
+inline constexpr std::size_t LeastWatchers = 3;
 inline constexpr std::size_t NewsFanout = 4;
 /// Nodes of each other failure domain that a watcher tells: a datagram may be
 /// lost, and the comparison of digests takes a second.
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -170,6 +170,9 @@
   if (WasLive != NowLive || Entry.Is.Process != Claim.Process ||
       Entry.Is.Blind != Claim.Blind || Entry.Is.Capacity != Claim.Capacity)
     ++this->Version;
+  if ((Entry.Is.State == MemberState::Suspect) !=
+      (Claim.State == MemberState::Suspect))
+    ++this->SuspectVersion;
   Entry.Is = Claim;
   Entry.Since = Now;
   Entry.Confirmed.clear();
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -56,6 +56,10 @@
   [[nodiscard]] std::uint64_t digest() const { return this->Digest; }
   /// Goes up with every change of the live members.
   [[nodiscard]] std::uint64_t version() const { return this->Version; }
+  /// Goes up when a member becomes suspect, or no longer is.
+  [[nodiscard]] std::uint64_t suspectVersion() const {
+    return this->SuspectVersion;
+  }
   [[nodiscard]] Stats stats() const;
   /// \p Count live members drawn at random, without this node.
   std::vector<Address> sample(std::size_t Count);
@@ -104,6 +108,7 @@
   std::uint64_t NextSequence = 1;
   std::uint64_t Digest = 0;
   std::uint64_t Version = 0;
+  std::uint64_t SuspectVersion = 0;
   int Slowness = 0;
   std::uint64_t Suspicions = 0;
   std::uint64_t Refutations = 0;
--- a/src/core/steering.cpp
+++ b/src/core/steering.cpp
@@ -27,6 +27,12 @@
     Nodes[I] = std::move(Weighed[I].second);
 }
 
+bool isIn(const std::vector<SteeringNode> &Nodes, const SteeringNode &Which) {
+  return std::any_of(Nodes.begin(), Nodes.end(), [&](const SteeringNode &Each) {
+    return Each.Where == Which.Where;
+  });
+}
+
 /// Puts the machines of large capacity first, in their order otherwise.
 /// \returns how many they are.
 std::size_t largeFirst(std::vector<SteeringNode> &Nodes) {
@@ -112,23 +118,27 @@
                                            std::size_t Count) {
   sortByWeight(Nodes, "platform watchers");
   largeFirst(Nodes);
-  std::set<FailureDomain> Used;
+  std::map<FailureDomain, std::size_t> Used;
   std::vector<SteeringNode> Chosen;
-  for (const SteeringNode &Each : Nodes)
-    if (Chosen.size() < Count && Used.insert(Each.Domain).second)
-      Chosen.push_back(Each);
-  // Fewer domains than watchers: more of each.
-  for (const SteeringNode &Each : Nodes) {
-    const bool Taken =
-        std::any_of(Chosen.begin(), Chosen.end(), [&](const auto &Other) {
-          return Other.Where == Each.Where;
-        });
-    if (Chosen.size() < Count && !Taken)
-      Chosen.push_back(Each);
-  }
+  // One of each domain in turn.
+  for (std::size_t Round = 1; Chosen.size() < std::min(Count, Nodes.size());
+       ++Round)
+    for (const SteeringNode &Each : Nodes) {
+      std::size_t &Taken = Used[Each.Domain];
+      if (Chosen.size() < Count && Taken + 1 == Round && !isIn(Chosen, Each)) {
+        Chosen.push_back(Each);
+        ++Taken;
+      }
+    }
   return Chosen;
 }
 
+std::size_t watchersFor(std::size_t Nodes, std::size_t Domains) {
+  if (Nodes <= config::SmallFleetNodes)
+    return config::WatchersPerDomain * Domains;
+  return std::max(config::LeastWatchers, Domains);
+}
+
 std::vector<SteeringNode> accountEntries(const std::vector<SteeringNode> &Group,
                                          const AccountName &Account,
                                          std::size_t Count) {
--- a/src/core/steering.h
+++ b/src/core/steering.h
@@ -49,6 +49,11 @@
 std::vector<SteeringNode> platformWatchers(std::vector<SteeringNode> Nodes,
                                            std::size_t Count);
 
+/// How many nodes read the platform: in a small fleet two of each failure
+/// domain, since a cut or a refusal may meet any three at once; in a larger one
+/// one of each, since every change wakes them all.
+std::size_t watchersFor(std::size_t Nodes, std::size_t Domains);
+
 /// The \p Count nodes of \p Group to which \p Account is steered, best first,
 /// over as many failure domains as there are.
 std::vector<SteeringNode> accountEntries(const std::vector<SteeringNode> &Group,
--- a/src/node/gossip_loop.cpp
+++ b/src/node/gossip_loop.cpp
@@ -267,14 +267,16 @@
 
 void GossipLoop::show(Instant Now) {
   const bool Changed = this->Members.version() != this->ShownVersion;
-  if (Now < (Changed ? this->NextChangeShow : this->NextShow))
+  const bool Suspects = this->Members.suspectVersion() != this->ShownSuspects;
+  if (Now < (Changed || Suspects ? this->NextChangeShow : this->NextShow))
     return;
+  this->ShownSuspects = this->Members.suspectVersion();
   this->NextShow = Now + ShowPeriod;
   this->NextChangeShow = Now + ChangeShowPeriod;
   auto View = std::make_shared<MembersView>();
   View->All = this->Members.members();
   View->Live = this->Members.live();
-  View->Watchers = Changed || this->ShownVersion == 0
+  View->Watchers = Changed || Suspects || this->ShownVersion == 0
                        ? nextWatchers(View->Live)
                        : this->Context.Members.load()->Watchers;
   View->Counts = this->Members.stats();
--- a/src/node/gossip_loop.h
+++ b/src/node/gossip_loop.h
@@ -32,6 +32,7 @@
   Random Dice;
   GossipSeal Seal;
   std::uint64_t ShownVersion = 0;
+  std::uint64_t ShownSuspects = 0;
   Instant NextShow;
   Instant NextChangeShow;
   Instant NextRecordSync;
--- a/src/node/watcher_role.cpp
+++ b/src/node/watcher_role.cpp
@@ -13,13 +13,14 @@
   for (const Member &Each : Live) {
     All.push_back(
         {Each.Id, Each.Where, Each.Domain, Each.Capacity, Each.Blind});
-    if (!Each.Blind)
+    // Whether a suspect is lost takes seconds to settle where many are.
+    if (!Each.Blind && Each.State == MemberState::Alive)
       Seeing.push_back(All.back());
   }
-  auto Chosen = platformWatchers(std::move(Seeing), config::PlatformWatchers);
+  const std::size_t Count = watchersFor(All.size(), countDomains(All));
+  auto Chosen = platformWatchers(std::move(Seeing), Count);
   // A node that is blind finds out by trying whether it still is.
-  for (const SteeringNode &Each :
-       platformWatchers(std::move(All), config::PlatformWatchers))
+  for (const SteeringNode &Each : platformWatchers(std::move(All), Count))
     if (Each.Blind)
       Chosen.push_back(Each);
   return Chosen;
@@ -37,6 +38,9 @@
       });
   if (Own == Chosen.end())
     return std::nullopt;
+  // The watchers of a small fleet all read at once.
+  if (View->Live.size() <= config::SmallFleetNodes)
+    return 0;
   return static_cast<std::size_t>(Own - Chosen.begin());
 }
 
--- a/src/node/watcher_role.h
+++ b/src/node/watcher_role.h
@@ -12,8 +12,8 @@
 struct NodeContext;
 
 /// The nodes of \p Live that read the platform for all, the first of them
-/// soonest: those of the highest rank that can read it, beside those of the
-/// highest rank altogether, who go on trying.
+/// soonest: those of the highest rank that can read it and are no suspects,
+/// beside those of the highest rank altogether, who go on trying.
 std::vector<SteeringNode> nextWatchers(const std::vector<Member> &Live);
 
 /// This node's place among the nodes that read the platform for all, 0 for the
--- a/tests/unit/fleet_share_test.cpp
+++ b/tests/unit/fleet_share_test.cpp
@@ -157,17 +157,25 @@
     EXPECT_EQ(After[I].Where, Before[I].Where);
 }
 
-TEST(PlatformWatchers, AreFewAtAnySizeAndOfDifferentDomains) {
-  for (const int PerDomain : {1, 8, 110}) {
-    const auto Chosen = platformWatchers(steered(PerDomain), 3);
-    ASSERT_EQ(Chosen.size(), 3U);
-    std::set<FailureDomain> Domains;
+TEST(PlatformWatchers, AreOfAllDomainsAlike) {
+  for (const int PerDomain : {2, 8, 110}) {
+    const auto Chosen = platformWatchers(steered(PerDomain), 8);
+    ASSERT_EQ(Chosen.size(), 8U);
+    std::map<FailureDomain, int> Domains;
     for (const SteeringNode &Each : Chosen)
-      Domains.insert(Each.Domain);
-    EXPECT_EQ(Domains.size(), 3U);
+      ++Domains[Each.Domain];
+    for (const auto &[Domain, Count] : Domains)
+      EXPECT_EQ(Count, 2);
   }
 }
 
+TEST(PlatformWatchers, DoNotGrowWithTheFleet) {
+  EXPECT_EQ(watchersFor(32, 4), 8U);
+  EXPECT_EQ(watchersFor(96, 4), 4U);
+  EXPECT_EQ(watchersFor(442, 6), 6U);
+  EXPECT_EQ(watchersFor(4300, 1), config::LeastWatchers);
+}
+
 TEST(PlatformWatchers, AreLargeMachinesAndStayWhenAnotherIsLost) {
   auto Nodes = mixed(20, 2);
   const auto Before = platformWatchers(Nodes, 3);
@@ -186,21 +194,36 @@
 TEST(PlatformWatchers, OneThatIsRefusedHandsOverAndGoesOnTrying) {
   auto Live = members(8);
   const auto Before = nextWatchers(Live);
-  ASSERT_EQ(Before.size(), config::PlatformWatchers);
+  ASSERT_EQ(Before.size(), 8U);
   for (Member &Each : Live)
     Each.Blind = Each.Where == Before.front().Where;
   const auto After = nextWatchers(Live);
-  ASSERT_EQ(After.size(), config::PlatformWatchers + 1);
+  ASSERT_EQ(After.size(), 9U);
   EXPECT_FALSE(After.front().Blind);
   EXPECT_TRUE(After.back().Blind);
   EXPECT_EQ(After.back().Where, Before.front().Where);
 }
 
+TEST(PlatformWatchers, AllThatAreCutAtOnceAreReplacedOnSuspicion) {
+  auto Live = members(8);
+  const auto Before = nextWatchers(Live);
+  for (Member &Each : Live)
+    for (const SteeringNode &Cut : Before)
+      if (Each.Where == Cut.Where)
+        Each.State = MemberState::Suspect;
+  const auto After = nextWatchers(Live);
+  ASSERT_EQ(After.size(), 8U);
+  for (const SteeringNode &Each : After)
+    EXPECT_TRUE(
+        std::none_of(Before.begin(), Before.end(),
+                     [&](const auto &Cut) { return Cut.Where == Each.Where; }));
+}
+
 TEST(PlatformWatchers, NoStormWhileThePlatformIsLostToAll) {
   auto Live = members(110);
   for (Member &Each : Live)
     Each.Blind = true;
-  EXPECT_EQ(nextWatchers(Live).size(), config::PlatformWatchers);
+  EXPECT_EQ(nextWatchers(Live).size(), 4U);
 }
 
 FleetRecord fleet() {
