--- a/src/core/gray_belief.cpp
+++ b/src/core/gray_belief.cpp
@@ -39,8 +39,6 @@
 
 } // namespace
 
-double GrayBelief::InitialChance() { return config::GrayShare; }
-
 double GrayBelief::chance(Instant Now) const {
   const double Passed =
       static_cast<double>((Now - this->At).count()) /
--- a/src/core/gray_belief.h
+++ b/src/core/gray_belief.h
@@ -2,6 +2,7 @@
 #define SISKINSTAGE_CORE_GRAY_BELIEF_H
 
 #include "core/observation.h"
+#include "siskinstage/config.h"
 #include "siskinstage/units.h"
 
 #include <optional>
@@ -29,11 +30,9 @@
   std::optional<double> news(Evidence What, Instant Now);
 
 private:
-  double Chance = InitialChance();
+  double Chance = config::GrayShare;
   Instant At;
   bool ToldGray = false; ///< The others hold it for probably gray.
-
-  static double InitialChance();
 };
 
 } // namespace siskinstage
--- a/src/core/news_spread.cpp
+++ b/src/core/news_spread.cpp
@@ -31,6 +31,7 @@
 
 std::vector<Address> addressesOf(const std::vector<Member> &Members) {
   std::vector<Address> Addresses;
+  Addresses.reserve(Members.size());
   for (const Member &Each : Members)
     Addresses.push_back(Each.Where);
   return Addresses;
