--- a/src/core/gray_handicap.h
+++ b/src/core/gray_handicap.h
@@ -7,8 +7,8 @@
 
 namespace siskinstage {
 
-/// The handicap of a target that is gray with \p Chance when one is chosen, in
-/// loads of all its slots. A target that is probably gray gets one request at a
+/// The handicap, in loads of all its slots, of a target that is gray with
+/// \p Chance. A target that is probably gray gets one request at a
 /// time, while others have room; work that may run twice tries it first.
 /// \param InFlight requests of this node at the target.
 double grayHandicap(double Chance, std::uint32_t InFlight, Repeatability Kind);
