Observability: when a target is doubted, tried again and left without work

Lines 'is doubted', 'is trusted again' (on the change only) and 'tries a doubted target' (at most one at a time for each target and node), idle_ms in /state, and siskinstage_targets{service,which} for admitted, doubted and idle targets. No decision is changed.

--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -168,6 +168,8 @@
 inline constexpr double LeastGrayChance = 0.005;
 /// From this chance on a target counts as gray towards the other nodes.
 inline constexpr double ProbablyGray = 0.4;
+/// A target without a request for so long has no work.
+inline constexpr std::chrono::milliseconds WorkWindow = 2s;
 /// A target that is probably gray gets one request at a time: each further one
 /// tells nothing sooner.
 inline constexpr double TrialChance = 0.5;
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -195,14 +195,46 @@
                          Duration Took) {
   const ServiceView &Service = *this->Order.Service;
   const auto Gray = Service.Gate->note(*Target.Gauge, What);
-  if (Gray && Service.Group)
-    this->Context.order(
-        SendGrayNews{{Service.Record.Name, Target.Spec.Id, percentOf(*Gray)},
-                     Service.Group});
+  this->logDoubt(Target, What, Gray);
+  if (Gray.Tell && Service.Group)
+    this->Context.order(SendGrayNews{
+        {Service.Record.Name, Target.Spec.Id, percentOf(Gray.After)},
+        Service.Group});
   this->Context.observe({this->Order.Service->Record.Name, Target.Spec.Id, What,
                          Took, bootNow(), false});
 }
 
+void Dispatcher::logDoubt(const TargetView &Target, Evidence What,
+                          const ServiceGate::BeliefChange &Gray) const {
+  const bool Doubted = Gray.After >= config::ProbablyGray;
+  if (Doubted == (Gray.Before >= config::ProbablyGray))
+    return;
+  logEvent(LogLevel::Info,
+           "target " + Target.Spec.Id.str() + " of service " +
+               this->Order.Service->Record.Name.str() +
+               (Doubted ? " is doubted" : " is trusted again"),
+           {{"request", this->Order.Request->Id.str()},
+            {"evidence", evidenceName(What)},
+            {"gray_percent_before", std::to_string(percentOf(Gray.Before))},
+            {"gray_percent_now", std::to_string(percentOf(Gray.After))}});
+}
+
+void Dispatcher::logTrial(const TargetLease &Lease) const {
+  const Placement &Placed = Lease.placed();
+  if (Placed.GrayChance < config::ProbablyGray)
+    return;
+  logEvent(LogLevel::Info,
+           "request " + this->Order.Request->Id.str() +
+               " tries a doubted target",
+           {{"service", this->Order.Service->Record.Name.str()},
+            {"target", Lease.target().Spec.Id.str()},
+            {"target_domain", Lease.target().Spec.Domain.str()},
+            {"gray_percent", std::to_string(percentOf(Placed.GrayChance))},
+            {"idle_ms",
+             std::to_string(
+                 std::chrono::duration_cast<Millis>(Placed.Idle).count())}});
+}
+
 void Dispatcher::noteAnswer(const TargetView &Target, TargetExchange &Exchange,
                             Duration Took) {
   if (Exchange.saidNotRun())
@@ -399,6 +431,7 @@
     if (auto End = this->checkBeforeDispatch())
       return std::move(*End);
 
+    this->logTrial(*Lease);
     const TargetView Target = Lease->target();
     this->Tried.insert(Target.Spec.Id);
     const Instant Started = bootNow();
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -95,6 +95,11 @@
   /// Notes evidence of a finished try.
   void noteAnswer(const TargetView &Target, TargetExchange &Exchange,
                   Duration Took);
+  /// Says that evidence made a target probably gray, or no longer.
+  void logDoubt(const TargetView &Target, Evidence What,
+                const ServiceGate::BeliefChange &Gray) const;
+  /// Says that the request was placed on a target that is probably gray.
+  void logTrial(const TargetLease &Lease) const;
   /// Says what failed where, and what was believed of the target before.
   void logFailure(const TargetView &Target, const ExchangeFailure &Failed,
                   Duration Took) const;
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -64,7 +64,12 @@
       HighestRevision(gauge(*this->Registry, "siskinstage_config_revision",
                             "Highest revision in force.")),
       Keys(gauge(*this->Registry, "siskinstage_keys",
-                 "Idempotency keys in the owner table.")) {}
+                 "Idempotency keys in the owner table.")),
+      Targets(BuildGauge()
+                  .Name("siskinstage_targets")
+                  .Help("Targets that may get work, by service and by what "
+                        "this node thinks of them.")
+                  .Register(*this->Registry)) {}
 
 void Metrics::answered(int Status) {
   this->Answers.Add({{"status", std::to_string(Status)}}).Increment();
@@ -117,6 +122,16 @@
 
 void Metrics::setKeys(double Entries) { this->Keys.Set(Entries); }
 
+void Metrics::setTargets(const std::string &Service, double Admitted,
+                         double Doubted, double Idle) {
+  const auto Set = [&](const char *Which, double Count) {
+    this->Targets.Add({{"service", Service}, {"which", Which}}).Set(Count);
+  };
+  Set("admitted", Admitted);
+  Set("doubted", Doubted);
+  Set("idle", Idle);
+}
+
 std::string Metrics::text() const {
   return prometheus::TextSerializer().Serialize(this->Registry->Collect());
 }
--- a/src/node/metrics.h
+++ b/src/node/metrics.h
@@ -36,6 +36,10 @@
   void setObservationsLost(double Count);
   void setRevision(double Highest);
   void setKeys(double Entries);
+  /// Targets of \p Service that may get work, those of them that are probably
+  /// gray, and those that this node has sent nothing lately.
+  void setTargets(const std::string &Service, double Admitted, double Doubted,
+                  double Idle);
 
   /// The Prometheus text format.
   [[nodiscard]] std::string text() const;
@@ -57,6 +61,7 @@
   prometheus::Gauge &ObservationsLost;
   prometheus::Gauge &HighestRevision;
   prometheus::Gauge &Keys;
+  prometheus::Family<prometheus::Gauge> &Targets;
 };
 
 } // namespace siskinstage
--- a/src/node/operator_pages.cpp
+++ b/src/node/operator_pages.cpp
@@ -1,6 +1,7 @@
 #include "node/operator_pages.h"
 #include "node/explain_page.h"
 #include "node/node_context.h"
+#include "node/service_gate.h"
 #include "node/snapshot.h"
 #include "node/state_dump.h"
 
@@ -31,6 +32,11 @@
   Measured.setObservationsLost(
       static_cast<double>(Context.Observations.lost()));
   Measured.setKeys(static_cast<double>(Context.Keys.stats().Entries));
+  const auto Now = Context.Snapshots.get();
+  Now->ServiceViews.forEach([&](const ServiceName &Name, const auto &Service) {
+    const ServiceGate::Coverage Is = Service->Gate->coverage(*Service);
+    Measured.setTargets(Name.str(), Is.Admitted, Is.Doubted, Is.Idle);
+  });
   return {200, "text/plain; version=0.0.4", Measured.text()};
 }
 
--- a/src/node/service_gate.cpp
+++ b/src/node/service_gate.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace siskinstage {
 
@@ -39,7 +40,7 @@
 } // namespace
 
 TargetLease::TargetLease(std::shared_ptr<ServiceGate> Gate, TargetView Target,
-                         Instant Placed)
+                         Placement Placed)
     : Gate(std::move(Gate)), Target(std::move(Target)), Placed(Placed) {}
 
 TargetLease::TargetLease(TargetLease &&Other) noexcept
@@ -65,7 +66,7 @@
   if (!this->Gate)
     return;
   this->Target.Gauge->InFlight.fetch_sub(1);
-  this->Gate->leave(*this->Target.Gauge, this->Placed);
+  this->Gate->leave(*this->Target.Gauge, this->Placed.At);
   this->Gate.reset();
 }
 
@@ -119,17 +120,22 @@
   if (!Chosen)
     return tl::unexpected<Refusal>(Refusal::NoTarget);
   const TargetView &Target = View.Targets[*Chosen];
-  Target.Gauge->InFlight.fetch_add(1);
-  Target.Gauge->Requests.fetch_add(1);
-  Target.Gauge->Started.push_back(Now);
-  return TargetLease(this->shared_from_this(), Target, Now);
+  TargetGauge &Gauge = *Target.Gauge;
+  Gauge.InFlight.fetch_add(1);
+  Gauge.Requests.fetch_add(1);
+  Gauge.Started.push_back(Now);
+  const Duration Idle = Now - std::exchange(Gauge.LastPlaced, Now);
+  return TargetLease(this->shared_from_this(), Target,
+                     {Now, Idle, Gauge.Gray.chance(Now)});
 }
 
-std::optional<double> ServiceGate::note(TargetGauge &Gauge, Evidence What) {
+ServiceGate::BeliefChange ServiceGate::note(TargetGauge &Gauge, Evidence What) {
   const Instant Now = bootNow();
   const std::lock_guard<std::mutex> Guard(this->Lock);
+  const double Before = Gauge.Gray.chance(Now);
   Gauge.Gray.note(What, Now);
-  return Gauge.Gray.news(What, Now);
+  const bool Tell = Gauge.Gray.news(What, Now).has_value();
+  return {Before, Gauge.Gray.chance(Now), Tell};
 }
 
 void ServiceGate::adopt(TargetGauge &Gauge, double GrayChance) {
@@ -142,6 +148,26 @@
   return Gauge.Gray.chance(bootNow());
 }
 
+ServiceGate::Coverage ServiceGate::coverage(const ServiceView &View) {
+  const Instant Now = bootNow();
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  Coverage Found;
+  for (const TargetView &Each : View.Targets) {
+    if (!Each.Verdict.Admitted || Each.Verdict.Leaving)
+      continue;
+    ++Found.Admitted;
+    Found.Doubted +=
+        Each.Gauge->Gray.chance(Now) >= config::ProbablyGray ? 1 : 0;
+    Found.Idle += Now - Each.Gauge->LastPlaced >= config::WorkWindow ? 1 : 0;
+  }
+  return Found;
+}
+
+Duration ServiceGate::idle(const TargetGauge &Gauge) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  return bootNow() - Gauge.LastPlaced;
+}
+
 bool ServiceGate::hasSoundRoom(const ServiceView &View,
                                const PlacementOrder &Order) {
   const std::lock_guard<std::mutex> Guard(this->Lock);
--- a/src/node/service_gate.h
+++ b/src/node/service_gate.h
@@ -47,6 +47,20 @@
     double RetriesLeft = 0;
   };
 
+  /// What evidence did to the chance that a target is gray.
+  struct BeliefChange {
+    double Before = 0;
+    double After = 0;
+    bool Tell = false; ///< The other nodes should hear of it.
+  };
+
+  /// How the work of this node covers the targets that may get some.
+  struct Coverage {
+    std::uint32_t Admitted = 0;
+    std::uint32_t Doubted = 0; ///< Probably gray.
+    std::uint32_t Idle = 0;    ///< Without a request for config::WorkWindow.
+  };
+
   ServiceGate(ServiceName Name, std::uint64_t Seed);
 
   /// A slot at a target that is admitted and was not tried; waits for one
@@ -58,11 +72,13 @@
   void leave(TargetGauge &Gauge, Instant Placed);
 
   /// Takes in what a request showed of a target.
-  /// \returns the chance that it is gray, if the other nodes should hear of it.
-  std::optional<double> note(TargetGauge &Gauge, Evidence What);
+  BeliefChange note(TargetGauge &Gauge, Evidence What);
   /// Takes over what another node believes of a target.
   void adopt(TargetGauge &Gauge, double GrayChance);
   [[nodiscard]] double grayChance(const TargetGauge &Gauge);
+  /// Time since this node last placed a request at a target.
+  [[nodiscard]] Duration idle(const TargetGauge &Gauge);
+  [[nodiscard]] Coverage coverage(const ServiceView &View);
 
   /// Whether a target that was not tried has a free slot and is probably sound,
   /// so that work which waits elsewhere would be better off there.
--- a/src/node/state_dump.cpp
+++ b/src/node/state_dump.cpp
@@ -24,6 +24,8 @@
   Dump["share"] = Target.Verdict.Share;
   Dump["reason"] = Target.Verdict.Reason;
   Dump["gray_chance"] = Gate.grayChance(*Target.Gauge);
+  Dump["idle_ms"] = static_cast<Json::Int64>(
+      std::chrono::duration_cast<Millis>(Gate.idle(*Target.Gauge)).count());
   Dump["ejections"] = Target.Verdict.Ejections;
   Dump["in_flight"] = Target.Gauge->InFlight.load();
   Dump["reported_in_flight"] = Target.Gauge->load(bootNow());
--- a/src/node/target_gauge.h
+++ b/src/node/target_gauge.h
@@ -21,6 +21,8 @@
   /// When the requests in flight were placed; guarded by the service's gate.
   std::vector<Instant> Started;
   GrayBelief Gray; ///< Guarded by the service's gate, too.
+  /// When this node last placed a request here; guarded by the gate, too.
+  Instant LastPlaced;
 
   /// Notes the requests that the target stated in an answer.
   void noteLoad(std::uint32_t Requests, Instant Now) {
--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -61,6 +61,15 @@
             self.assertEqual(call(OPERATOR_PORT, "GET", page)[0], 200, page)
         self.assertNotIn("001122", call(OPERATOR_PORT, "GET", "/state")[1])
 
+    def test_operators_see_which_targets_get_no_work(self):
+        metrics = call(OPERATOR_PORT, "GET", "/metrics")[1]
+        for which in ("admitted", "doubted", "idle"):
+            self.assertRegex(metrics, 'siskinstage_targets{service="[^"]+",'
+                             f'which="{which}"}} [0-9]')
+        state = json.loads(call(OPERATOR_PORT, "GET", "/state")[1])
+        for target in state["services"][0]["targets"]:
+            self.assertGreaterEqual(target["idle_ms"], 0)
+
 
 class OwnerGone(unittest.TestCase):
     def test_a_key_whose_owner_died_is_unknown_and_not_run_again(self):
