Idle targets are tried by one node: sound ones get their work back

Cause: the doubt of a target has no way back. Its handicap loses to every other target that has room, and only repeatable work tries it sooner. So a target that failed twice got nothing for up to 18 s, and half of the targets of a service stood idle; the rest queued. The floor bounds ejections, not this handicap. Class: two mechanisms take capacity out, and the limit holds for one of them.

Ruled out: ejections (20 in the logs, none of the service concerned); a domain without traffic (idle targets in all four). Also seen: seven nodes tried one doubted target within 50 ms, each on its own, and lost a request each.

Change: of the nodes that serve a target, the one of its domain with the highest rendezvous weight is in charge of it. Where it has sent nothing for a second and the chance that the target is gray is below 0.45, the next request goes there.

--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -170,6 +170,12 @@
 inline constexpr double ProbablyGray = 0.4;
 /// A target without a request for so long has no work.
 inline constexpr std::chrono::milliseconds WorkWindow = 2s;
+/// A target without a request for so long is idle: half of the work window, so
+/// that the next one still reaches it within the window.
+inline constexpr std::chrono::milliseconds TrialIdle = WorkWindow / 2;
+/// An idle target is tried once its chance of being gray is below this: less
+/// than even, so that a trial more often returns a target than loses a request.
+inline constexpr double ReturnChance = 0.45;
 /// A target that is probably gray gets one request at a time: each further one
 /// tells nothing sooner.
 inline constexpr double TrialChance = 0.5;
--- a/src/core/gray_handicap.cpp
+++ b/src/core/gray_handicap.cpp
@@ -12,4 +12,8 @@
              : Whole;
 }
 
+bool isTrialDue(double Chance, Duration Idle) {
+  return Idle >= config::TrialIdle && Chance < config::ReturnChance;
+}
+
 } // namespace siskinstage
--- a/src/core/gray_handicap.h
+++ b/src/core/gray_handicap.h
@@ -2,6 +2,7 @@
 #define SISKINSTAGE_CORE_GRAY_HANDICAP_H
 
 #include "core/repeatability.h"
+#include "siskinstage/units.h"
 
 #include <cstdint>
 
@@ -13,6 +14,12 @@
 /// \param InFlight requests of this node at the target.
 double grayHandicap(double Chance, std::uint32_t InFlight, Repeatability Kind);
 
+/// Whether a target should get the next request because it has had none for
+/// \p Idle. Answers the load pattern in which targets that were gray are sound
+/// again while others have room: where no work may run twice, nothing else
+/// would find that out, and more and more sound targets would stand idle.
+bool isTrialDue(double Chance, Duration Idle);
+
 } // namespace siskinstage
 
 #endif // SISKINSTAGE_CORE_GRAY_HANDICAP_H
--- a/src/core/pick.cpp
+++ b/src/core/pick.cpp
@@ -18,10 +18,24 @@
   return PickTwoChoices{};
 }
 
+namespace {
+
+const Candidate *dueTrial(const std::vector<Candidate> &Candidates) {
+  const Candidate *Due = nullptr;
+  for (const Candidate &Each : Candidates)
+    if (Each.TrialDue && (Due == nullptr || Each.Handicap < Due->Handicap))
+      Due = &Each;
+  return Due;
+}
+
+} // namespace
+
 std::optional<std::uint32_t>
 pick(Policy &How, const std::vector<Candidate> &Candidates, Random &Dice) {
   if (Candidates.empty())
     return std::nullopt;
+  if (const Candidate *Due = dueTrial(Candidates))
+    return Due->Index;
   return std::visit(
       [&](auto &Each) { return pickWith(Each, Candidates, Dice); }, How);
 }
--- a/src/core/pick.h
+++ b/src/core/pick.h
@@ -19,6 +19,7 @@
   std::uint32_t Capacity = 1; ///< Requests that it works on at once.
   bool SameDomain = false;    ///< In the failure domain of this node.
   double Handicap = 0;        ///< For doubts, in loads of all its slots.
+  bool TrialDue = false;      ///< Goes first, see isTrialDue.
 };
 
 /// Whether a candidate has a free slot and probably works.
@@ -49,7 +50,9 @@
 /// The policy object that a record's name stands for.
 Policy makePolicy(RoutingPolicy Name);
 
-/// Chooses one of \p Candidates; each policy stands in a file pick_*.cpp.
+/// Chooses one of \p Candidates: of those whose trial is due the one with the
+/// lowest handicap, else by the policy. Each policy stands in a file
+/// pick_*.cpp.
 /// \returns its Index, or nothing if there is none.
 std::optional<std::uint32_t>
 pick(Policy &How, const std::vector<Candidate> &Candidates, Random &Dice);
--- a/src/core/steering.cpp
+++ b/src/core/steering.cpp
@@ -139,6 +139,36 @@
   return std::max(config::LeastWatchers, Domains);
 }
 
+std::vector<bool> targetsInCharge(const std::vector<SteeringNode> &Serving,
+                                  const Address &Self,
+                                  const std::vector<TargetSpec> &Targets) {
+  std::map<FailureDomain, std::vector<const SteeringNode *>> Domains;
+  std::vector<const SteeringNode *> All;
+  const SteeringNode *Own = nullptr;
+  for (const SteeringNode &Each : Serving) {
+    Domains[Each.Domain].push_back(&Each);
+    All.push_back(&Each);
+    if (Each.Where == Self)
+      Own = &Each;
+  }
+  std::vector<bool> Charges(Targets.size(), false);
+  if (Own == nullptr)
+    return Charges;
+  for (std::size_t I = 0; I < Targets.size(); ++I) {
+    const auto Near = Domains.find(Targets[I].Domain);
+    if (Near != Domains.end() && Own->Domain != Targets[I].Domain)
+      continue;
+    const auto &Nodes = Near == Domains.end() ? All : Near->second;
+    const std::string &Key = Targets[I].Id.str();
+    const std::uint64_t Weight = rendezvousWeight(Key, Own->Id.str());
+    Charges[I] =
+        std::none_of(Nodes.begin(), Nodes.end(), [&](const SteeringNode *Each) {
+          return rendezvousWeight(Key, Each->Id.str()) > Weight;
+        });
+  }
+  return Charges;
+}
+
 std::vector<SteeringNode> accountEntries(const std::vector<SteeringNode> &Group,
                                          const AccountName &Account,
                                          std::size_t Count) {
--- a/src/core/steering.h
+++ b/src/core/steering.h
@@ -1,6 +1,7 @@
 #ifndef SISKINSTAGE_CORE_STEERING_H
 #define SISKINSTAGE_CORE_STEERING_H
 
+#include "siskinstage/service_record.h"
 #include "siskinstage/strong_id.h"
 
 #include <cstdint>
@@ -54,6 +55,14 @@
 /// one of each, since every change wakes them all.
 std::size_t watchersFor(std::size_t Nodes, std::size_t Domains);
 
+/// Which of \p Targets the node at \p Self is in charge of trying when they are
+/// idle: of the nodes of the target's failure domain among \p Serving, or of
+/// all where it has none, one by rendezvous hashing. One node tries, so that a
+/// target that is still gray costs one request and not one of each node.
+std::vector<bool> targetsInCharge(const std::vector<SteeringNode> &Serving,
+                                  const Address &Self,
+                                  const std::vector<TargetSpec> &Targets);
+
 /// The \p Count nodes of \p Group to which \p Account is steered, best first,
 /// over as many failure domains as there are.
 std::vector<SteeringNode> accountEntries(const std::vector<SteeringNode> &Group,
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -22,6 +22,14 @@
   return std::abs(After - Before) > LatencyChange * std::max(Before, 1.0);
 }
 
+bool sameNodes(const std::vector<SteeringNode> &Left,
+               const std::vector<SteeringNode> &Right) {
+  return std::equal(Left.begin(), Left.end(), Right.begin(), Right.end(),
+                    [](const SteeringNode &L, const SteeringNode &R) {
+                      return L.Where == R.Where;
+                    });
+}
+
 bool isSettled(const TargetVerdict &Verdict) {
   return Verdict.State == TargetHealth::State::Healthy;
 }
@@ -213,7 +221,7 @@
   Is.Gate->configure(Is.Record.Policy, this->retries());
   Is.Health.configure(Is.Record, bootNow());
   Is.Health.setListedLeaving(this->ListedLeaving);
-  Is.Group = this->groupOf(Name);
+  this->setServing(Is, this->servingNodes(Name));
   Is.Verdicts.clear();
   Is.Unsettled = true;
 }
@@ -258,10 +266,10 @@
   this->Next.Entries =
       domainEntries(this->Next.Nodes, this->Context.Set.EntriesPerDomain);
   for (auto &[Name, Service] : this->Services) {
-    auto Group = this->groupOf(Name);
-    if (Service.Group && *Group == *Service.Group)
+    auto Serving = this->servingNodes(Name);
+    if (Service.Group && sameNodes(Serving, Service.Serving))
       continue;
-    Service.Group = std::move(Group);
+    this->setServing(Service, std::move(Serving));
     if (!Service.Verdicts.empty())
       this->rebuildService(Name, Service);
   }
@@ -297,23 +305,31 @@
     Service.Gate->configure(Service.Record.Policy, this->retries());
 }
 
-std::shared_ptr<const std::vector<Address>>
-DecisionLoop::groupOf(const ServiceName &Name) const {
+std::vector<SteeringNode>
+DecisionLoop::servingNodes(const ServiceName &Name) const {
   const ServiceRecord *Record = this->record(Name);
   if (Record == nullptr)
-    return std::make_shared<const std::vector<Address>>();
+    return {};
+  if (this->Context.Set.EntriesPerDomain > 0)
+    return this->Next.Entries;
   const std::size_t Slots =
       Record->Targets.size() * Record->SlotsPerTarget.Value;
-  const std::size_t PerDomain =
-      groupNodesPerDomain(Slots, countDomains(this->Next.Nodes));
-  const std::size_t Entries = this->Context.Set.EntriesPerDomain;
+  return serviceGroup(
+      this->Next.Nodes, Name,
+      groupNodesPerDomain(Slots, countDomains(this->Next.Nodes)));
+}
+
+void DecisionLoop::setServing(Held &Service,
+                              std::vector<SteeringNode> Serving) const {
+  const Address &Self = this->Context.Set.FleetAddress;
   std::vector<Address> Group;
-  for (const SteeringNode &Node :
-       Entries > 0 ? this->Next.Entries
-                   : serviceGroup(this->Next.Nodes, Name, PerDomain))
-    if (Node.Where != this->Context.Set.FleetAddress)
+  for (const SteeringNode &Node : Serving)
+    if (Node.Where != Self)
       Group.push_back(Node.Where);
-  return std::make_shared<const std::vector<Address>>(std::move(Group));
+  Service.Group =
+      std::make_shared<const std::vector<Address>>(std::move(Group));
+  Service.InCharge = targetsInCharge(Serving, Self, Service.Record.Targets);
+  Service.Serving = std::move(Serving);
 }
 
 const ServiceRecord *DecisionLoop::record(const ServiceName &Name) const {
@@ -409,7 +425,8 @@
   View->High = Service.Usual.High;
   for (std::size_t I = 0; I < Service.Verdicts.size(); ++I) {
     const TargetSpec &Spec = View->Record.Targets[I];
-    View->Targets.push_back({Spec, Service.Verdicts[I], this->gaugeOf(Spec)});
+    View->Targets.push_back(
+        {Spec, Service.Verdicts[I], this->gaugeOf(Spec), Service.InCharge[I]});
   }
   this->Next.ServiceViews.set(Name, std::move(View));
 }
--- a/src/node/decision_loop.h
+++ b/src/node/decision_loop.h
@@ -31,8 +31,12 @@
 
     ServiceHealth Health;
     ServiceRecord Record; ///< With the targets that have their own records.
-    /// The other nodes that serve it.
+    /// The nodes that serve it.
+    std::vector<SteeringNode> Serving;
+    /// The others of them.
     std::shared_ptr<const std::vector<Address>> Group;
+    /// Targets that this node tries when they are idle, in the record's order.
+    std::vector<bool> InCharge;
     std::vector<TargetVerdict> Verdicts;
     std::shared_ptr<ServiceGate> Gate;
     UsualLatency Usual;
@@ -83,8 +87,9 @@
   /// What this node may spend of the fleet's retries.
   [[nodiscard]] RetryShare retries() const;
   void configureGates();
-  [[nodiscard]] std::shared_ptr<const std::vector<Address>>
-  groupOf(const ServiceName &Name) const;
+  [[nodiscard]] std::vector<SteeringNode>
+  servingNodes(const ServiceName &Name) const;
+  void setServing(Held &Service, std::vector<SteeringNode> Serving) const;
   void decideAll(Instant Now);
   void decide(const ServiceName &Name, Held &Service, Instant Now);
   void noteSaidLeaving(const ServiceRecord &Record, Held &Service, Instant Now);
--- a/src/node/service_gate.cpp
+++ b/src/node/service_gate.cpp
@@ -18,17 +18,20 @@
   return !Order.Own.empty() && Target.Spec.Domain == Order.Own;
 }
 
-/// Handicap of a target for one request, in loads of all its slots. The gate's
-/// lock must be held.
-double handicapOf(const ServiceView &View, const TargetView &Target,
-                  const PlacementOrder &Order, std::uint32_t InFlight,
-                  Instant Now) {
-  const double Gray =
-      hangChance(Target.Gauge->Gray.chance(Now), Target.Gauge->Started,
-                 {View.Typical, View.High}, Now);
-  const bool Far = Order.LargeBody && !isNear(Target, Order);
-  return grayHandicap(Gray, InFlight, Order.Kind) +
-         (Far ? config::LargeBodyHandicap : 0);
+/// Chance that a target is gray, from all that is known. The gate's lock must
+/// be held.
+double grayNow(const ServiceView &View, const TargetView &Target, Instant Now) {
+  return hangChance(Target.Gauge->Gray.chance(Now), Target.Gauge->Started,
+                    {View.Typical, View.High}, Now);
+}
+
+/// Whether \p Order should go to an idle target, to find out whether it works.
+bool isDue(const TargetView &Target, const PlacementOrder &Order, double Gray,
+           Instant Now) {
+  if (!Target.InCharge || Target.Gauge->InFlight.load() > 0 ||
+      (Order.LargeBody && !isNear(Target, Order)))
+    return false;
+  return isTrialDue(Gray, Now - Target.Gauge->LastPlaced);
 }
 
 /// Slots of a target that this node may use now.
@@ -98,15 +101,20 @@
     if (!Open || Order.Tried.count(Each.Spec.Id) > 0)
       continue;
     const std::uint32_t InFlight = Each.Gauge->InFlight.load();
-    const bool Spared =
-        Each.Verdict.Share < 1.0 && this->Dice.unit() > Each.Verdict.Share;
+    const double Gray = grayNow(View, Each, Now);
+    const bool Due = isDue(Each, Order, Gray, Now);
+    const bool Spared = !Due && Each.Verdict.Share < 1.0 &&
+                        this->Dice.unit() > Each.Verdict.Share;
     if (InFlight >= usableSlots(View, Each) || Spared) {
       Full = true;
       continue;
     }
+    const bool Near = isNear(Each, Order);
+    const double Handicap =
+        grayHandicap(Gray, InFlight, Order.Kind) +
+        (Order.LargeBody && !Near ? config::LargeBodyHandicap : 0);
     Found.push_back({I, InFlight, Each.Gauge->load(Now), slotsOf(View, Each),
-                     isNear(Each, Order),
-                     handicapOf(View, Each, Order, InFlight, Now)});
+                     Near, Handicap, Due});
   }
   return Found;
 }
--- a/src/node/snapshot.h
+++ b/src/node/snapshot.h
@@ -22,6 +22,7 @@
   TargetSpec Spec;
   TargetVerdict Verdict;
   std::shared_ptr<TargetGauge> Gauge;
+  bool InCharge = false; ///< This node tries it when it is idle.
 };
 
 /// One service as handlers see it.
--- a/tests/unit/fleet_share_test.cpp
+++ b/tests/unit/fleet_share_test.cpp
@@ -37,6 +37,51 @@
       }));
 }
 
+SteeringNode servingNode(const std::string &Domain, int Number) {
+  const Member Is = member(Domain, Number);
+  SteeringNode Node;
+  Node.Id = NodeId(Domain + std::to_string(Number));
+  Node.Where = Is.Where;
+  Node.Domain = Is.Domain;
+  return Node;
+}
+
+TargetSpec targetIn(const std::string &Domain, int Number) {
+  TargetSpec Spec;
+  Spec.Id = TargetId("t" + Domain + std::to_string(Number));
+  Spec.Domain = FailureDomain(Domain);
+  return Spec;
+}
+
+/// Seven entries lost one request each to a target that each of them tried.
+TEST(TargetsInCharge, OneNodeTriesATarget) {
+  std::vector<SteeringNode> Serving;
+  std::vector<TargetSpec> Targets;
+  for (const char *Domain : {"a", "b", "c"})
+    for (int I = 0; I < 3; ++I)
+      Serving.push_back(servingNode(Domain, I));
+  for (const char *Domain : {"a", "b", "c", "without nodes"})
+    for (int I = 0; I < 20; ++I)
+      Targets.push_back(targetIn(Domain, I));
+  std::vector<int> Nodes(Targets.size(), 0);
+  for (const SteeringNode &Each : Serving) {
+    const auto Charges = targetsInCharge(Serving, Each.Where, Targets);
+    for (std::size_t I = 0; I < Targets.size(); ++I) {
+      const bool Elsewhere =
+          I < 60 && Targets[I].Domain != Each.Domain && Charges[I];
+      EXPECT_FALSE(Elsewhere) << Each.Id.str() << " " << Targets[I].Id.str();
+      Nodes[I] += Charges[I] ? 1 : 0;
+    }
+  }
+  EXPECT_EQ(std::count(Nodes.begin(), Nodes.end(), 1), 80);
+}
+
+TEST(TargetsInCharge, ANodeThatDoesNotServeTriesNone) {
+  const auto Charges = targetsInCharge(
+      {servingNode("a", 1)}, servingNode("a", 2).Where, {targetIn("a", 1)});
+  EXPECT_FALSE(Charges[0]);
+}
+
 TEST(NewsSpread, AWatcherTellsItsDomainAndTwoOfEachOther) {
   Random Dice(1);
   const auto To =
--- a/tests/unit/gray_replay.h
+++ b/tests/unit/gray_replay.h
@@ -77,6 +77,7 @@
 struct View {
   GrayBelief Gray;
   std::vector<Instant> Started;
+  Instant LastPlaced;
 };
 
 struct Running {
@@ -223,6 +224,14 @@
     return Place % static_cast<std::size_t>(this->What.Domains);
   }
 
+  /// Of the entries of the target's domain, one after the other.
+  [[nodiscard]] bool inCharge(std::size_t Entry, std::size_t Target) const {
+    const auto Domains = static_cast<std::size_t>(this->What.Domains);
+    const std::size_t PerDomain = this->Views.size() / Domains;
+    return this->domainOf(Entry) == this->domainOf(Target) &&
+           Entry / Domains == Target / Domains % PerDomain;
+  }
+
   void place() {
     const std::size_t Entry =
         this->Dice.below(static_cast<std::uint32_t>(this->Views.size()));
@@ -239,7 +248,9 @@
                                      this->Usual, this->Now);
       Candidates.push_back({I, InFlight, 0, this->What.Slots,
                             this->domainOf(I) == this->domainOf(Entry),
-                            grayHandicap(Gray, InFlight, Kind)});
+                            grayHandicap(Gray, InFlight, Kind),
+                            this->inCharge(Entry, I) && InFlight == 0 &&
+                                isTrialDue(Gray, this->Now - Seen.LastPlaced)});
     }
     this->Found.Requests.push_back({this->Now});
     this->Found.Asked += Repeatable ? 0 : 1;
@@ -275,6 +286,7 @@
     New.Overdue =
         this->Now + overdueAge(this->Usual, config::OverdueChanceCareful);
     this->Views[Entry][Which].Started.push_back(this->Now);
+    this->Views[Entry][Which].LastPlaced = this->Now;
     New.Number = this->Found.Requests.size() - 1;
     this->Open.push_back(New);
   }
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -73,6 +73,22 @@
   EXPECT_EQ(pickDomainFirst(Candidates), 0U);
 }
 
+TEST(PickDomainFirst, ADueTrialGoesBeforeAnIdleTarget) {
+  std::vector<Candidate> Candidates = {
+      candidate(0, 0, true), candidate(1, 0, false), candidate(2, 0, false)};
+  for (Candidate &Each : Candidates)
+    Each.TrialDue = Each.Index > 0;
+  Candidates[1].Handicap = 0.8;
+  Candidates[2].Handicap = 0.6;
+  EXPECT_EQ(pickDomainFirst(Candidates), 2U);
+}
+
+TEST(GrayHandicap, ATrialIsDueOnceAnIdleTargetIsMoreProbablySound) {
+  EXPECT_TRUE(isTrialDue(0.3, config::TrialIdle));
+  EXPECT_FALSE(isTrialDue(0.3, config::TrialIdle - Millis(1)));
+  EXPECT_FALSE(isTrialDue(0.6, Millis(60'000)));
+}
+
 /// The belief after \p Seen, one piece of evidence every 100 ms from 0 on.
 GrayBelief after(const std::vector<Evidence> &Seen) {
   GrayBelief Belief;
