--- /dev/null
+++ b/src/core/placement.cpp
@@ -0,0 +1,49 @@
+#include "core/placement.h"
+#include "core/gray_handicap.h"
+#include "core/suspicion.h"
+#include "siskinstage/config.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace siskinstage {
+
+namespace {
+
+/// Slots of a target that this node may use now.
+std::uint32_t usableSlots(const KnownTarget &Target) {
+  const double Usable = std::ceil(Target.Capacity * Target.Share);
+  return static_cast<std::uint32_t>(std::max(1.0, Usable));
+}
+
+} // namespace
+
+std::optional<Candidate> candidateOf(const KnownTarget &Target,
+                                     const RequestTraits &Request,
+                                     const UsualLatency &Usual, Instant Now,
+                                     Random &Dice, bool &Full) {
+  if (Target.InFlight >= usableSlots(Target)) {
+    Full = true;
+    return std::nullopt;
+  }
+  const bool LeavesDomain = Request.LargeBody && !Target.SameDomain;
+  const double Gray =
+      hangChance(Target.GrayChance, *Target.Started, Usual, Now);
+  const bool Due = Target.InCharge && Target.InFlight == 0 && !LeavesDomain &&
+                   isTrialDue(Gray, Target.Idle);
+  if (!Due && Target.Share < 1.0 && Dice.unit() > Target.Share) {
+    Full = true;
+    return std::nullopt;
+  }
+  const double Handicap = grayHandicap(Gray, Target.InFlight, Request.Kind) +
+                          (LeavesDomain ? config::LargeBodyHandicap : 0);
+  return Candidate{Target.Index,
+                   Target.InFlight,
+                   Target.Reported,
+                   Target.Capacity,
+                   Target.SameDomain,
+                   Handicap,
+                   Due};
+}
+
+} // namespace siskinstage
--- a/src/node/service_gate.cpp
+++ b/src/node/service_gate.cpp
@@ -1,13 +1,11 @@
 #include "node/service_gate.h"
-#include "core/gray_handicap.h"
-#include "core/suspicion.h"
+#include "core/placement.h"
 #include "net/boot_time.h"
 #include "node/snapshot_holder.h"
 #include "node/target_gauge.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace siskinstage {
@@ -18,28 +16,6 @@
   return !Order.Own.empty() && Target.Spec.Domain == Order.Own;
 }
 
-/// Chance that a target is gray, from all that is known. The gate's lock must
-/// be held.
-double grayNow(const ServiceView &View, const TargetView &Target, Instant Now) {
-  return hangChance(Target.Gauge->Gray.chance(Now), Target.Gauge->Started,
-                    {View.Typical, View.High}, Now);
-}
-
-/// Whether \p Order should go to an idle target, to find out whether it works.
-bool isDue(const TargetView &Target, const PlacementOrder &Order, double Gray,
-           Instant Now) {
-  if (!Target.InCharge || Target.Gauge->InFlight.load() > 0 ||
-      (Order.LargeBody && !isNear(Target, Order)))
-    return false;
-  return isTrialDue(Gray, Now - Target.Gauge->LastPlaced);
-}
-
-/// Slots of a target that this node may use now.
-std::uint32_t usableSlots(const ServiceView &View, const TargetView &Target) {
-  const double Usable = std::ceil(slotsOf(View, Target) * Target.Verdict.Share);
-  return static_cast<std::uint32_t>(std::max(1.0, Usable));
-}
-
 } // namespace
 
 TargetLease::TargetLease(std::shared_ptr<ServiceGate> Gate, TargetView Target,
@@ -93,6 +69,7 @@
 std::vector<Candidate> ServiceGate::candidates(const ServiceView &View,
                                                const PlacementOrder &Order,
                                                Instant Now, bool &Full) {
+  const UsualLatency Usual = {View.Typical, View.High};
   std::vector<Candidate> Found;
   Full = false;
   for (std::uint32_t I = 0; I < View.Targets.size(); ++I) {
@@ -100,21 +77,20 @@
     const bool Open = Each.Verdict.Admitted && !Each.Gauge->SaidLeaving.load();
     if (!Open || Order.Tried.count(Each.Spec.Id) > 0)
       continue;
-    const std::uint32_t InFlight = Each.Gauge->InFlight.load();
-    const double Gray = grayNow(View, Each, Now);
-    const bool Due = isDue(Each, Order, Gray, Now);
-    const bool Spared = !Due && Each.Verdict.Share < 1.0 &&
-                        this->Dice.unit() > Each.Verdict.Share;
-    if (InFlight >= usableSlots(View, Each) || Spared) {
-      Full = true;
-      continue;
-    }
-    const bool Near = isNear(Each, Order);
-    const double Handicap =
-        grayHandicap(Gray, InFlight, Order.Kind) +
-        (Order.LargeBody && !Near ? config::LargeBodyHandicap : 0);
-    Found.push_back({I, InFlight, Each.Gauge->load(Now), slotsOf(View, Each),
-                     Near, Handicap, Due});
+    const TargetGauge &Gauge = *Each.Gauge;
+    const KnownTarget Known = {I,
+                               Gauge.InFlight.load(),
+                               Gauge.load(Now),
+                               slotsOf(View, Each),
+                               Each.Verdict.Share,
+                               isNear(Each, Order),
+                               Gauge.Gray.chance(Now),
+                               &Gauge.Started,
+                               Each.InCharge,
+                               Now - Gauge.LastPlaced};
+    if (const auto Fit = candidateOf(Known, {Order.Kind, Order.LargeBody},
+                                     Usual, Now, this->Dice, Full))
+      Found.push_back(*Fit);
   }
   return Found;
 }
--- a/tests/unit/gray_replay.h
+++ b/tests/unit/gray_replay.h
@@ -2,8 +2,8 @@
 #define SISKINSTAGE_TESTS_UNIT_GRAY_REPLAY_H
 
 #include "core/gray_belief.h"
-#include "core/gray_handicap.h"
 #include "core/pick.h"
+#include "core/placement.h"
 #include "core/suspicion.h"
 #include "siskinstage/config.h"
 
@@ -239,18 +239,21 @@
     const auto Kind =
         Repeatable ? Repeatability::Repeatable : Repeatability::AtMostOnce;
     std::vector<Candidate> Candidates;
+    bool Full = false;
     for (std::uint32_t I = 0; I < this->Targets.size(); ++I) {
       const View &Seen = this->Views[Entry][I];
-      const auto InFlight = static_cast<std::uint32_t>(Seen.Started.size());
-      if (InFlight >= this->What.Slots)
-        continue;
-      const double Gray = hangChance(Seen.Gray.chance(this->Now), Seen.Started,
-                                     this->Usual, this->Now);
-      Candidates.push_back({I, InFlight, 0, this->What.Slots,
-                            this->domainOf(I) == this->domainOf(Entry),
-                            grayHandicap(Gray, InFlight, Kind),
-                            this->inCharge(Entry, I) && InFlight == 0 &&
-                                isTrialDue(Gray, this->Now - Seen.LastPlaced)});
+      KnownTarget Known;
+      Known.Index = I;
+      Known.InFlight = static_cast<std::uint32_t>(Seen.Started.size());
+      Known.Capacity = this->What.Slots;
+      Known.SameDomain = this->domainOf(I) == this->domainOf(Entry);
+      Known.GrayChance = Seen.Gray.chance(this->Now);
+      Known.Started = &Seen.Started;
+      Known.InCharge = this->inCharge(Entry, I);
+      Known.Idle = this->Now - Seen.LastPlaced;
+      if (const auto Fit = candidateOf(Known, {Kind}, this->Usual, this->Now,
+                                       this->Dice, Full))
+        Candidates.push_back(*Fit);
     }
     this->Found.Requests.push_back({this->Now});
     this->Found.Asked += Repeatable ? 0 : 1;
