--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -16,6 +16,12 @@
   return static_cast<std::uint32_t>(std::max(1.0, Usable));
 }
 
+/// Whether \p Request may find out if an idle target works. One with less time
+/// than a sound target may take would tell nothing.
+bool mayTry(const RequestTraits &Request, const UsualLatency &Usual) {
+  return Request.FirstTry && Request.TimeLeft >= Usual.High;
+}
+
 } // namespace
 
 std::optional<Candidate> candidateOf(const KnownTarget &Target,
@@ -30,7 +36,7 @@
   const double Gray =
       hangChance(Target.GrayChance, *Target.Started, Usual, Now);
   const bool Due = Target.InCharge && Target.InFlight == 0 && !LeavesDomain &&
-                   isTrialDue(Gray, Target.Idle);
+                   mayTry(Request, Usual) && isTrialDue(Gray, Target.Idle);
   if (!Due && Target.Share < 1.0 && Dice.unit() > Target.Share) {
     Full = true;
     return std::nullopt;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -5,6 +5,7 @@
 #include "core/pick.h"
 #include "core/random.h"
 #include "core/repeatability.h"
+#include "siskinstage/config.h"
 #include "siskinstage/units.h"
 
 #include <optional>
@@ -30,6 +31,9 @@
 struct RequestTraits {
   Repeatability Kind = Repeatability::AtMostOnce;
   bool LargeBody = false;
+  /// It was sent to no target yet: a second try must not fail, too.
+  bool FirstTry = true;
+  Duration TimeLeft = config::DefaultDeadline;
 };
 
 /// Weighs one target for a request.
--- a/src/node/service_gate.cpp
+++ b/src/node/service_gate.cpp
@@ -70,6 +70,8 @@
                                                const PlacementOrder &Order,
                                                Instant Now, bool &Full) {
   const UsualLatency Usual = {View.Typical, View.High};
+  const RequestTraits Traits = {Order.Kind, Order.LargeBody,
+                                Order.Tried.empty(), Order.Deadline - Now};
   std::vector<Candidate> Found;
   Full = false;
   for (std::uint32_t I = 0; I < View.Targets.size(); ++I) {
@@ -88,8 +90,8 @@
                                &Gauge.Started,
                                Each.InCharge,
                                Now - Gauge.LastPlaced};
-    if (const auto Fit = candidateOf(Known, {Order.Kind, Order.LargeBody},
-                                     Usual, Now, this->Dice, Full))
+    if (const auto Fit =
+            candidateOf(Known, Traits, Usual, Now, this->Dice, Full))
       Found.push_back(*Fit);
   }
   return Found;
--- a/tests/unit/floor_replay_test.cpp
+++ b/tests/unit/floor_replay_test.cpp
@@ -63,11 +63,12 @@
 
 /// Guards against FLOOR of incident inc1: targets that had failed once got
 /// nothing for up to 18 s, long after they were sound again.
-void expectSoundTargetsWork(const Load &What) {
+void expectSoundTargetsWork(const Load &What, std::uint64_t FirstSeed = 1,
+                            std::uint64_t LastSeed = 8) {
   constexpr double MinShare = 0.7;
   constexpr int LeastWindows = 40;
   int Windows = 0;
-  for (const std::uint64_t Seed : {1U, 2U, 3U, 4U, 5U, 6U, 7U, 8U}) {
+  for (std::uint64_t Seed = FirstSeed; Seed <= LastSeed; ++Seed) {
     const Outcome Seen = Replay(What, Seed).run();
     const Instant Start = Seen.Requests.front().At;
     std::vector<std::string> Broken;
@@ -105,6 +106,27 @@
   expectSoundTargetsWork(disruptedWithoutRepeatableWork());
 }
 
+/// With few sound targets left, one or two that nobody has tried again break
+/// the rule.
+TEST(FloorReplay, SoundTargetsGetWorkAgainOnMoreSeeds) {
+  expectSoundTargetsWork(disruptedWithoutRepeatableWork(), 9, 40);
+}
+
+/// Fewer requests for an entry each second than targets that it looks after:
+/// all of them must get their turn.
+TEST(FloorReplay, IdleTargetsOfSparseServicesTakeTurns) {
+  Load What = disruptedWithoutRepeatableWork();
+  What.ArrivalsPerSecond = 40;
+  expectSoundTargetsWork(What);
+}
+
+/// The node that is in charge of a target may have no requests for it.
+TEST(FloorReplay, TargetsOfADomainWithoutCallersGetWorkAgain) {
+  Load What = disruptedWithoutRepeatableWork();
+  What.FirstDomainSilent = true;
+  expectSoundTargetsWork(What);
+}
+
 /// The orders of grown nidal.
 TEST(FloorReplay, SoundTargetsOfLargeDisruptedServicesGetWorkAgain) {
   Load What = disruptedWithoutRepeatableWork();
--- a/tests/unit/gray_replay.h
+++ b/tests/unit/gray_replay.h
@@ -34,6 +34,8 @@
   double HitShare = 0;
   Millis HitEvery{10'000};
   Millis HitLength{2'000};
+  /// The entries of the first domain get no requests.
+  bool FirstDomainSilent = false;
 };
 
 /// When something held for a target.
@@ -232,9 +234,17 @@
            Entry / Domains == Target / Domains % PerDomain;
   }
 
+  std::size_t drawEntry() {
+    while (true) {
+      const std::size_t Entry =
+          this->Dice.below(static_cast<std::uint32_t>(this->Views.size()));
+      if (!this->What.FirstDomainSilent || this->domainOf(Entry) != 0)
+        return Entry;
+    }
+  }
+
   void place() {
-    const std::size_t Entry =
-        this->Dice.below(static_cast<std::uint32_t>(this->Views.size()));
+    const std::size_t Entry = this->drawEntry();
     const bool Repeatable = this->Dice.unit() < this->What.RepeatablePart;
     const auto Kind =
         Repeatable ? Repeatability::Repeatable : Repeatability::AtMostOnce;
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -2,6 +2,7 @@
 #include "core/gray_handicap.h"
 #include "core/pick.h"
 #include "core/pick_backend.h"
+#include "core/placement.h"
 #include "core/service_health.h"
 #include "core/suspicion.h"
 #include "core/target_health.h"
@@ -83,6 +84,48 @@
   EXPECT_EQ(pickDomainFirst(Candidates), 2U);
 }
 
+/// A target that its node in charge has sent nothing for two seconds.
+std::optional<Candidate> idleTarget(const RequestTraits &Request,
+                                    double GrayChance, double Share = 1,
+                                    std::uint64_t Seed = 1) {
+  const std::vector<Instant> None;
+  KnownTarget Known;
+  Known.Capacity = 3;
+  Known.SameDomain = true;
+  Known.Share = Share;
+  Known.GrayChance = GrayChance;
+  Known.Started = &None;
+  Known.InCharge = true;
+  Known.Idle = Millis(2'000);
+  Random Dice(Seed);
+  bool Full = false;
+  return candidateOf(Known, Request, {Millis(200), Millis(500)}, Instant(),
+                     Dice, Full);
+}
+
+TEST(CandidateOf, TriesAnIdleTargetWithAFirstTryThatHasTime) {
+  RequestTraits Request;
+  Request.TimeLeft = Millis(500);
+  EXPECT_TRUE(idleTarget(Request, 0.3)->TrialDue);
+  EXPECT_FALSE(idleTarget(Request, 0.6)->TrialDue);
+  Request.FirstTry = false;
+  EXPECT_FALSE(idleTarget(Request, 0.3)->TrialDue);
+  Request.FirstTry = true;
+  Request.TimeLeft = Millis(499);
+  EXPECT_FALSE(idleTarget(Request, 0.3)->TrialDue);
+}
+
+TEST(CandidateOf, ADueTrialIsNotSparedOnProbation) {
+  int Due = 0;
+  int NotDue = 0;
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    Due += idleTarget({}, 0.3, 0.1, Seed) ? 1 : 0;
+    NotDue += idleTarget({}, 0.6, 0.1, Seed) ? 1 : 0;
+  }
+  EXPECT_EQ(Due, 20);
+  EXPECT_LT(NotDue, 10);
+}
+
 TEST(GrayHandicap, ATrialIsDueOnceAnIdleTargetIsMoreProbablySound) {
   EXPECT_TRUE(isTrialDue(0.3, config::TrialIdle));
   EXPECT_FALSE(isTrialDue(0.3, config::TrialIdle - Millis(1)));
