A caller with little time left no longer makes a target look gray

failureEvidence tells the two apart: a timeout before the answer was overdue is ShortTimeout and says nothing of the target's health.

ACallerWithLittleTimeLeftTellsNothingOfTheTarget fails with the distinction taken out (the others are told after each of ten such callers) and passes with it.

--- a/src/core/attempt.cpp
+++ b/src/core/attempt.cpp
@@ -26,6 +26,15 @@
   return "unknown-failure";
 }
 
+Evidence failureEvidence(AttemptFailure::Kind What, bool TimedOut,
+                         bool WasOverdue) {
+  if (What == AttemptFailure::Kind::ConnectFailed)
+    return Evidence::ConnectFailed;
+  if (!TimedOut)
+    return Evidence::Failure;
+  return WasOverdue ? Evidence::Timeout : Evidence::ShortTimeout;
+}
+
 Outcome provedBy(const AttemptFailure &Failure) {
   if (Failure.What == AttemptFailure::Kind::Refused)
     return Outcome::NotRun;
--- a/src/core/attempt.h
+++ b/src/core/attempt.h
@@ -1,6 +1,7 @@
 #ifndef SISKINSTAGE_CORE_ATTEMPT_H
 #define SISKINSTAGE_CORE_ATTEMPT_H
 
+#include "core/observation.h"
 #include "core/repeatability.h"
 #include "siskinstage/outcome.h"
 
@@ -27,6 +28,12 @@
 /// Short lower-case name of \p What, for logs and metrics.
 const char *attemptFailureName(AttemptFailure::Kind What);
 
+/// What the failure shows of the target.
+/// \param TimedOut   no answer came before the request's deadline.
+/// \param WasOverdue a sound target would have answered sooner.
+Evidence failureEvidence(AttemptFailure::Kind What, bool TimedOut,
+                         bool WasOverdue);
+
 /// What the failure proves about this one try.
 Outcome provedBy(const AttemptFailure &Failure);
 
--- a/src/core/gray_belief.cpp
+++ b/src/core/gray_belief.cpp
@@ -25,6 +25,7 @@
   case Evidence::Failure:
   case Evidence::ConnectFailed:
     return Gray / config::SoundFailures;
+  case Evidence::ShortTimeout:
   case Evidence::Shed:
   case Evidence::Leaving:
     return 1;
@@ -62,7 +63,8 @@
 
 std::optional<double> GrayBelief::news(Evidence What, Instant Now) {
   const bool Tells = What != Evidence::ConnectFailed &&
-                     What != Evidence::Shed && What != Evidence::Leaving;
+                     What != Evidence::ShortTimeout && What != Evidence::Shed &&
+                     What != Evidence::Leaving;
   if (!Tells)
     return std::nullopt;
   const double Is = this->chance(Now);
--- a/src/core/target_health.cpp
+++ b/src/core/target_health.cpp
@@ -57,6 +57,8 @@
     return "failure";
   case Evidence::Timeout:
     return "timeout";
+  case Evidence::ShortTimeout:
+    return "timeout of a caller with little time";
   case Evidence::Overdue:
     return "request without an answer in the usual time";
   case Evidence::ConnectFailed:
@@ -95,7 +97,8 @@
                            const DetectionLimits &Limits,
                            const UsualLatency &Usual) {
   this->noteLeaving(Seen);
-  if (Seen.What == Evidence::Shed || Seen.What == Evidence::Leaving)
+  if (Seen.What == Evidence::Shed || Seen.What == Evidence::Leaving ||
+      Seen.What == Evidence::ShortTimeout)
     return;
   // A gray target answers its probes, and a health endpoint may lie both ways:
   // of a probe only the lack of an answer counts.
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -314,12 +314,10 @@
   }
   if (Failed.GivenUp)
     return; // That it was overdue has been noted.
-  Evidence What = Evidence::Failure;
-  if (Failed.Attempt.What == AttemptFailure::Kind::ConnectFailed)
-    What = Evidence::ConnectFailed;
-  else if (Failed.TimedOut)
-    What = Evidence::Timeout;
-  this->observe(Target, What, Took);
+  this->observe(
+      Target,
+      failureEvidence(Failed.Attempt.What, Failed.TimedOut, this->WasOverdue),
+      Took);
 }
 
 bool Dispatcher::retry(const AttemptFailure &Failed) {
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -1,3 +1,4 @@
+#include "core/attempt.h"
 #include "core/gray_belief.h"
 #include "core/gray_handicap.h"
 #include "core/pick.h"
@@ -189,6 +190,27 @@
   EXPECT_GE(Silent.chance(at(200)), Failed.chance(at(200)));
 }
 
+/// A caller with 50 ms left made a sound target count as gray at all nodes.
+TEST(GrayBelief, ACallerWithLittleTimeLeftTellsNothingOfTheTarget) {
+  const Evidence Short =
+      failureEvidence(AttemptFailure::Kind::NoAnswer, true, false);
+  GrayBelief Belief;
+  TargetHealth Health;
+  for (int I = 1; I <= 10; ++I) {
+    Belief.note(Short, at(100 * I));
+    Health.observe({ServiceName("s"), TargetId("t"), Short, Millis(50),
+                    at(100 * I), false},
+                   DetectionLimits::of(DetectionPreference::Fast),
+                   {Millis(200), Millis(500)});
+    EXPECT_FALSE(Belief.news(Short, at(100 * I)));
+  }
+  EXPECT_DOUBLE_EQ(Belief.chance(at(1'000)), config::GrayShare);
+  EXPECT_EQ(Health.state(), TargetHealth::State::Healthy);
+  EXPECT_EQ(Health.latency(), Duration::zero());
+  EXPECT_EQ(failureEvidence(AttemptFailure::Kind::NoAnswer, true, true),
+            Evidence::Timeout);
+}
+
 TEST(GrayBelief, ALateAnswerTakesItsSilenceBack) {
   const auto Silent = after({Evidence::Success, Evidence::Overdue});
   const auto Late =
