A body that stalls on its way to a target ends with an answer

Cause: `TargetExchange::bodyFailure` took every fault of the caller's body for a caller that has gone. A stalled caller is still connected and waits.

Ruled out: the target (it was sound and idle), the route's timeout (8 s, not reached), an exception (none logged).

Before: test_slow_callers.test_a_long_body_that_stalls_gets_an_answer failed with no bytes (b''), after 5.5 s. After: passes; test_callers_port and test_endless_answers (14) pass.

--- a/src/node/target_exchange.cpp
+++ b/src/node/target_exchange.cpp
@@ -51,6 +51,9 @@
 ExchangeFailure TargetExchange::bodyFailure(const ReadFault &Fault) {
   ExchangeFailure Failed = this->failure(Kind::SendFailed, Fault);
   Failed.CallerGone = true;
+  // A caller that stalls is still there and waits for an answer.
+  if (Failed.TimedOut)
+    Failed.BodyFault = HttpRefusal{504, "the body did not come in time"};
   Failed.TimedOut = false;
   if (const auto *Malformed = std::get_if<HttpRefusal>(&Fault))
     Failed.BodyFault = *Malformed;
