Bodies are read no longer than their request may take

Callers saw: a request whose body came slowly had no answer at its route's timeout nor at its caller's own deadline. A stalled body of up to 256 KiB was refused after 5 s, with a timeout of 1.5 s; one that trickled was waited for without end, before the dispatch (`hold`) and during it (`sendRest`, whose writes look at the time only when they must wait).

Cause: a body was read with a limit for each part (`BodyStallTimeout`) and none for the whole; the deadline was worked out after the body was held.

Ruled out: targets (sound and idle), the queue (empty).

Change: the deadline is known once the route is, and `RequestBody` reads nothing after it. What was not passed on is refused with 408, which promises not run; the rest is 504.

Before, in test_slow_callers: stalled held body answered after 5.004 s (bound 2.0), held body that trickles, long body that trickles and body past the caller's deadline: no answer within 5.5 s; 4 of 5 failed. After: 5 of 5 pass; test_callers_port, test_endless_answers, test_whole_path, test_connections (26) and the unit tests (119) pass.

--- a/src/node/request_body.cpp
+++ b/src/node/request_body.cpp
@@ -2,6 +2,7 @@
 #include "net/boot_time.h"
 #include "siskinstage/config.h"
 
+#include <algorithm>
 #include <xxhash.h>
 
 namespace siskinstage {
@@ -11,9 +12,9 @@
 }
 
 RequestBody::RequestBody(Wire &Caller, const BodyFraming &Framing,
-                         bool ExpectContinue)
+                         bool ExpectContinue, Instant Limit)
     : Caller(Caller), Framing(Framing), Reader(Framing),
-      ContinueDue(ExpectContinue), Hash(XXH3_createState()) {
+      ContinueDue(ExpectContinue), Limit(Limit), Hash(XXH3_createState()) {
   XXH3_64bits_reset(this->Hash.get());
 }
 
@@ -22,7 +23,13 @@
 ReadResult<void> RequestBody::readInto(std::string &Into) {
   if (this->Reader.done())
     return {};
-  const Instant Deadline = bootNow() + config::BodyStallTimeout;
+  const Instant Now = bootNow();
+  // A caller that always has a few bytes ready would never be waited for.
+  if (Now >= this->Limit)
+    return tl::unexpected<ReadFault>(WireFault{
+        WireFault::Kind::Timeout, "the body did not come whole in time"});
+  const Instant Deadline =
+      std::min(this->Limit, Now + config::BodyStallTimeout);
   if (this->ContinueDue && this->Caller.buffered().empty()) {
     const auto Told =
         this->Caller.write("HTTP/1.1 100 Continue\r\n\r\n", Deadline);
--- a/src/node/request_body.h
+++ b/src/node/request_body.h
@@ -17,11 +17,15 @@
 class RequestBody {
 public:
   /// \param ExpectContinue the caller waits for "100 Continue".
-  RequestBody(Wire &Caller, const BodyFraming &Framing, bool ExpectContinue);
+  /// \param Limit after it no further part is read.
+  RequestBody(Wire &Caller, const BodyFraming &Framing, bool ExpectContinue,
+              Instant Limit);
   ~RequestBody();
   RequestBody(const RequestBody &) = delete;
   RequestBody &operator=(const RequestBody &) = delete;
 
+  /// Sets another limit, as soon as more is known than the caller's own.
+  void endBy(Instant Limit) { this->Limit = Limit; }
   /// Reads until the body is whole or the held part is at its limit.
   ReadResult<void> hold();
   /// Reads the next part behind the held one; empty at the end.
@@ -49,6 +53,7 @@
   BodyFraming Framing;
   BodyReader Reader;
   bool ContinueDue;
+  Instant Limit;
   std::string Held;
   std::uint64_t Total = 0;
   std::unique_ptr<XXH3_state_s, HashDeleter> Hash;
--- a/src/node/request_flow.cpp
+++ b/src/node/request_flow.cpp
@@ -40,7 +40,9 @@
 RequestFlow::RequestFlow(NodeContext &Context, Wire &Caller,
                          const CallerRequest &Request)
     : Context(Context), Caller(Caller), Request(Request),
-      Body(Caller, Request.Framing, Request.ExpectContinue),
+      Body(Caller, Request.Framing, Request.ExpectContinue,
+           Request.Arrived +
+               Request.TimeLeft.value_or(config::DefaultDeadline)),
       Reply(Caller, Request, Context.Set.Speak), Now(Context.Snapshots.get()) {
   if (Context.Draining.load())
     this->Reply.closeAfter();
@@ -113,6 +115,14 @@
   }
   this->RouteRepeatable = Route->Repeatable;
   this->Limits = {Route->MaxAttempts, Route->Timeout, Route->Objective};
+  const Millis Limit =
+      std::min(this->Request.TimeLeft.value_or(this->Service->Record.Deadline),
+               config::MaxDeadline);
+  this->Deadline = this->Request.Arrived + Limit;
+  if (this->Limits.Timeout > Millis::zero())
+    this->Deadline =
+        std::min(this->Deadline, this->Request.Arrived + this->Limits.Timeout);
+  this->Body.endBy(this->Deadline);
   return true;
 }
 
@@ -350,13 +360,6 @@
 }
 
 DispatchEnd RequestFlow::dispatch(const std::string &OwnedKey) {
-  const Millis Limit =
-      std::min(this->Request.TimeLeft.value_or(this->Service->Record.Deadline),
-               config::MaxDeadline);
-  this->Deadline = this->Request.Arrived + Limit;
-  if (this->Limits.Timeout > Millis::zero())
-    this->Deadline =
-        std::min(this->Deadline, this->Request.Arrived + this->Limits.Timeout);
   DispatchOrder Order;
   Order.Limits = this->Limits;
   Order.Request = &this->Request;
--- a/src/node/request_flow.h
+++ b/src/node/request_flow.h
@@ -37,7 +37,8 @@
 
   void answer();
   [[nodiscard]] const ServiceName &backendOf(const RouteRecord &Route) const;
-  /// Finds route and service. \returns false if it has refused.
+  /// Finds route and service, and with them the deadline.
+  /// \returns false if it has refused.
   bool route();
   /// Gives an answer that the node made itself.
   void serveInternal(const HttpResult<StoredAnswer> &Answer);
--- a/tests/integration/test_slow_callers.py
+++ b/tests/integration/test_slow_callers.py
@@ -66,3 +66,30 @@
             peer.sendall(b"x" * LONG_BODY)
             answer, _ = await_answer(peer, LONG_TIMEOUT_S + SLACK_S)
         self.assertTrue(answer.startswith(b"HTTP/1.1 504 "), answer[:80])
+
+    def expect_end_in_time(self, peer, statuses):
+        answer, began = await_answer(peer, TIMEOUT_S + 4, trickle=0.2)
+        self.assertIsNotNone(began, "no answer")
+        self.assertLess(began, TIMEOUT_S + SLACK_S)
+        self.assertIn(int(answer.split(b" ")[1]), statuses)
+
+    def test_a_held_body_that_stalls_is_refused_at_the_routes_timeout(self):
+        with send_head(self.node, "/orders/stall", 1000) as peer:
+            peer.sendall(b"x" * 10)
+            answer, began = await_answer(peer, TIMEOUT_S + 4)
+        self.assertLess(began, TIMEOUT_S + SLACK_S)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 408 "), answer[:80])
+
+    def test_a_held_body_that_trickles_is_refused_at_the_routes_timeout(self):
+        with send_head(self.node, "/orders/trickle", 1000) as peer:
+            self.expect_end_in_time(peer, {408})
+
+    def test_a_long_body_that_trickles_ends_at_the_routes_timeout(self):
+        with send_head(self.node, "/orders/long", LONG_BODY + 1000) as peer:
+            peer.sendall(b"x" * LONG_BODY)
+            self.expect_end_in_time(peer, {504})
+
+    def test_a_body_ends_at_the_callers_deadline_if_that_is_sooner(self):
+        with send_head(self.node, "/slow/deadline", 1000,
+                       int(TIMEOUT_S * 1000)) as peer:
+            self.expect_end_in_time(peer, {408})
