Half-sent heads hold no thread

Cause: `CallerPort::serve` waited for the rest of a head on its thread, up to `HeaderReadTimeout`. A node has 400 threads for callers (`MaxCallerThreads`), and events wait unseen when all are taken. The same held for pages, with 2 s.

Ruled out: descriptors (431 in use), processor (node at rest), the target.

Change: a handler reads what has come of a head and gives the connection back to the poll set when it isn't whole. `HeadStartWait` has no use any more.

Before: test_crowded_node.test_half_sent_heads_hold_up_nobody failed, the answer came after 10.198 s (bound 2.0).

--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -35,8 +35,6 @@
 /// Calls of other nodes, the platform and operators that are served at once.
 inline constexpr int MaxControlThreads = 24;
 inline constexpr std::size_t MaxControlConnections = 1000;
-/// A connection that has an event and no byte is left alone after this time.
-inline constexpr std::chrono::milliseconds HeadStartWait = 1s;
 /// Connections past their idle limit are looked for so often.
 inline constexpr std::chrono::milliseconds IdleSweepPeriod = 1s;
 // Ports with pages: readiness, directory, operators.
--- a/src/node/caller_port.cpp
+++ b/src/node/caller_port.cpp
@@ -24,13 +24,14 @@
   std::atomic<std::uint32_t> &Count;
 };
 
-void refuseHead(NodeContext &Context, Wire &Caller, const HttpRefusal &Why) {
+void refuseHead(NodeContext &Context, Wire &Caller, const HttpRefusal &Why,
+                Duration WriteTime = config::CallerWriteTimeout) {
   const Refusal Refused = {Why.Status,
                            Outcome::NotRun,
                            {Step::ReadRequest, "caller", Why.Reason},
                            std::nullopt};
   Context.Measured.refused(Step::ReadRequest, Outcome::NotRun);
-  CallerReply(Caller, Context.newRequestId(), Context.Set.Speak)
+  CallerReply(Caller, Context.newRequestId(), Context.Set.Speak, WriteTime)
       .refuse(Refused);
 }
 
@@ -42,40 +43,47 @@
   return Draining ? config::DrainIdleLimit : config::CallerIdleTimeout;
 }
 
-bool CallerPort::serve(Wire &Caller) {
+Duration CallerPort::headLimit() const { return config::HeaderReadTimeout; }
+
+void CallerPort::endLate(Wire &Caller) {
+  refuseHead(this->Context, Caller,
+             {408, "the head did not come whole in time"}, Duration::zero());
+}
+
+ConnectionHandler::Next CallerPort::serve(Wire &Caller) {
   const auto Lines =
-      readHead(Caller, HeadKind::Request, bootNow() + config::HeadStartWait,
-               config::HeaderReadTimeout);
+      readHead(Caller, HeadKind::Request, bootNow(), Duration::zero());
   if (Lines)
     return this->serveHead(Caller, *Lines);
   if (const auto *Malformed = std::get_if<HttpRefusal>(&Lines.error())) {
     refuseHead(this->Context, Caller, *Malformed);
-    return false;
-  }
-  if (!Caller.buffered().empty()) {
-    refuseHead(this->Context, Caller,
-               {408, "the head did not come whole in time"});
-    return false;
+    return Next::Close;
   }
   // Without a byte it was no request yet.
-  return std::get<WireFault>(Lines.error()).What == WireFault::Kind::Timeout;
+  if (std::get<WireFault>(Lines.error()).What == WireFault::Kind::Timeout)
+    return Caller.buffered().empty() ? Next::Idle : Next::Rest;
+  if (!Caller.buffered().empty())
+    refuseHead(this->Context, Caller, {408, "the head did not come whole"});
+  return Next::Close;
 }
 
-bool CallerPort::serveHead(Wire &Caller, const std::string &Lines) {
+ConnectionHandler::Next CallerPort::serveHead(Wire &Caller,
+                                              const std::string &Lines) {
   const Counted Running(this->Context.RequestsInFlight);
   const Instant Arrived = bootNow();
   auto Head = parseRequest(Lines);
   if (!Head) {
     refuseHead(this->Context, Caller, {400, readFaultText(Head.error())});
-    return false;
+    return Next::Close;
   }
   const auto Request = readCallerRequest(*Head, this->Context.newRequestId(),
                                          Arrived, this->Context.Set.Speak);
   if (!Request) {
     refuseHead(this->Context, Caller, Request.error());
-    return false;
+    return Next::Close;
   }
-  return RequestFlow(this->Context, Caller, *Request).run();
+  const bool Open = RequestFlow(this->Context, Caller, *Request).run();
+  return Open ? Next::Idle : Next::Close;
 }
 
 } // namespace siskinstage
--- a/src/node/caller_port.h
+++ b/src/node/caller_port.h
@@ -13,13 +13,15 @@
 public:
   explicit CallerPort(NodeContext &Context) : Context(Context) {}
 
-  bool serve(Wire &Caller) override;
+  Next serve(Wire &Caller) override;
+  void endLate(Wire &Caller) override;
+  [[nodiscard]] Duration headLimit() const override;
   [[nodiscard]] Duration idleLimit(bool Draining) const override;
 
 private:
   NodeContext &Context;
 
-  bool serveHead(Wire &Caller, const std::string &Lines);
+  Next serveHead(Wire &Caller, const std::string &Lines);
 };
 
 } // namespace siskinstage
--- a/src/node/caller_reply.cpp
+++ b/src/node/caller_reply.cpp
@@ -1,6 +1,5 @@
 #include "node/caller_reply.h"
 #include "net/boot_time.h"
-#include "siskinstage/config.h"
 
 #include <Poco/NumberFormatter.h>
 
@@ -33,8 +32,10 @@
       HeadOnly(Request.Head.getMethod() == "HEAD"),
       Keyed(Request.Key.has_value()), Close(!keepsConnection(Request)) {}
 
-CallerReply::CallerReply(Wire &Caller, RequestId Id, const Dialect &Speak)
-    : Caller(Caller), Speak(Speak), Id(std::move(Id)), Close(true) {}
+CallerReply::CallerReply(Wire &Caller, RequestId Id, const Dialect &Speak,
+                         Duration WriteTime)
+    : Caller(Caller), Speak(Speak), Id(std::move(Id)), Close(true),
+      WriteTime(WriteTime) {}
 
 HTTPResponse CallerReply::headOf(const StoredAnswer &Answer) {
   HTTPResponse Head(HTTPMessage::HTTP_1_1,
@@ -48,8 +49,7 @@
 }
 
 void CallerReply::send(std::string_view Bytes) {
-  const auto Sent =
-      this->Caller.write(Bytes, bootNow() + config::CallerWriteTimeout);
+  const auto Sent = this->Caller.write(Bytes, bootNow() + this->WriteTime);
   if (Sent)
     return;
   this->Close = true;
@@ -107,7 +107,7 @@
 bool CallerReply::part(std::string_view Data) {
   if (Data.empty())
     return true;
-  const auto Deadline = bootNow() + config::CallerWriteTimeout;
+  const auto Deadline = bootNow() + this->WriteTime;
   const auto Sent = this->Chunked
                         ? this->Caller.write(chunkText(Data), Deadline)
                         : this->Caller.write(Data, Deadline);
--- a/src/node/caller_reply.h
+++ b/src/node/caller_reply.h
@@ -5,6 +5,7 @@
 #include "net/http_io.h"
 #include "node/caller_request.h"
 #include "node/refusal.h"
+#include "siskinstage/config.h"
 
 namespace siskinstage {
 
@@ -14,7 +15,9 @@
   CallerReply(Wire &Caller, const CallerRequest &Request,
               const Dialect &Speak = OwnDialect);
   /// For a request that could not be read.
-  CallerReply(Wire &Caller, RequestId Id, const Dialect &Speak = OwnDialect);
+  /// \param WriteTime how long the caller may take to read a part.
+  CallerReply(Wire &Caller, RequestId Id, const Dialect &Speak,
+              Duration WriteTime);
 
   void refuse(const Refusal &Refused);
   void whole(const StoredAnswer &Answer);
@@ -41,6 +44,7 @@
   bool Close = false;
   bool Chunked = false;
   int Status = 0;
+  Duration WriteTime = config::CallerWriteTimeout;
 
   Poco::Net::HTTPResponse headOf(const StoredAnswer &Answer);
   [[nodiscard]] std::string secondsText(Duration Length) const;
--- a/src/node/connection_handler.h
+++ b/src/node/connection_handler.h
@@ -12,9 +12,21 @@
 public:
   virtual ~ConnectionHandler() = default;
 
-  /// Serves what came in on a connection, blocking.
-  /// \returns whether the connection stays open for more.
-  virtual bool serve(Wire &Peer) = 0;
+  /// What becomes of a connection that was served.
+  enum class Next {
+    Close,
+    Idle, ///< It waits for its next message.
+    Rest, ///< It waits for the rest of a message that has begun.
+  };
+
+  /// Serves what came in on a connection; blocks once a message has begun to
+  /// be served, but not for its first line and headers.
+  virtual Next serve(Wire &Peer) = 0;
+  /// Ends a connection whose message has begun and did not go on in time. Must
+  /// not block.
+  virtual void endLate(Wire &Peer) = 0;
+  /// How long a message's first line and headers may take.
+  [[nodiscard]] virtual Duration headLimit() const = 0;
   /// How long a connection may stay open without a byte.
   /// \param Draining the process is about to end.
   [[nodiscard]] virtual Duration idleLimit(bool Draining) const = 0;
--- a/src/node/connection_server.cpp
+++ b/src/node/connection_server.cpp
@@ -161,7 +161,7 @@
     return true; // Closed unread, which tells the peer that nothing was run.
   const Id New = this->NextId++;
   const auto Peer = std::make_shared<Wire>(Socket);
-  this->Connections[New] = {Peer, From.How, bootNow(), false};
+  this->Connections[New] = {Peer, From.How, bootNow(), State::Idle};
   this->count();
   this->watch(Peer->descriptor(), New, EPOLL_CTL_ADD);
   return true;
@@ -170,38 +170,44 @@
 void ConnectionServer::serveConnection(Id Which) {
   std::shared_ptr<Wire> Peer;
   std::shared_ptr<ConnectionHandler> How;
+  Instant Begun = bootNow();
   {
     const std::lock_guard<std::mutex> Guard(this->Lock);
     const auto Found = this->Connections.find(Which);
     if (Found == this->Connections.end())
       return;
-    Found->second.Busy = true;
+    if (Found->second.Now == State::Begun)
+      Begun = Found->second.Since;
+    Found->second.Now = State::Busy;
     Peer = Found->second.Peer;
     How = Found->second.How;
   }
-  bool Open = true;
+  auto Next = ConnectionHandler::Next::Idle;
   try {
-    do
-      Open = How->serve(*Peer);
-    while (Open && !Peer->buffered().empty());
-    if (!Open)
+    Next = How->serve(*Peer);
+    while (Next == ConnectionHandler::Next::Idle && !Peer->buffered().empty()) {
+      Begun = bootNow();
+      Next = How->serve(*Peer);
+    }
+    if (Next == ConnectionHandler::Next::Close)
       Peer->finish(bootNow() + config::LingerTime);
   } catch (const std::exception &Fault) {
     logEvent(LogLevel::Error, "a connection ended on an exception",
              {{"peer", Peer->peer()}, {"reason", Fault.what()}});
     Peer->abort();
-    Open = false;
+    Next = ConnectionHandler::Next::Close;
   }
   const std::lock_guard<std::mutex> Guard(this->Lock);
-  if (!Open) {
+  if (Next == ConnectionHandler::Next::Close) {
     this->Connections.erase(Which);
     this->count();
     return;
   }
   Peer->shrink();
   Held &Kept = this->Connections[Which];
-  Kept.Busy = false;
-  Kept.IdleSince = bootNow();
+  const bool IsIdle = Next == ConnectionHandler::Next::Idle;
+  Kept.Now = IsIdle ? State::Idle : State::Begun;
+  Kept.Since = IsIdle ? bootNow() : Begun;
   this->watch(Peer->descriptor(), Which, EPOLL_CTL_MOD);
 }
 
@@ -216,22 +222,32 @@
 
 void ConnectionServer::closeIdle() {
   const Instant Now = bootNow();
-  const std::lock_guard<std::mutex> Guard(this->Lock);
-  this->NextSweep = Now + config::IdleSweepPeriod;
-  std::erase_if(this->Connections, [&](const auto &Entry) {
-    return this->isPastLimit(Entry.second, Now);
-  });
-  this->count();
+  std::vector<Held> Late;
+  {
+    const std::lock_guard<std::mutex> Guard(this->Lock);
+    this->NextSweep = Now + config::IdleSweepPeriod;
+    std::erase_if(this->Connections, [&](const auto &Entry) {
+      const bool Past = this->isPastLimit(Entry.second, Now);
+      if (Past && Entry.second.Now == State::Begun)
+        Late.push_back(Entry.second);
+      return Past;
+    });
+    this->count();
+  }
+  for (const Held &Each : Late)
+    Each.How->endLate(*Each.Peer);
 }
 
 bool ConnectionServer::isPastLimit(const Held &Each, Instant Now) const {
-  const Duration Limit = Each.How->idleLimit(this->Draining);
-  if (Each.Busy)
+  if (Each.Now == State::Busy)
     return false;
+  if (Each.Now == State::Begun)
+    return Now - Each.Since >= Each.How->headLimit();
+  const Duration Limit = Each.How->idleLimit(this->Draining);
   if (!this->Draining)
-    return Now - Each.IdleSince >= Limit;
+    return Now - Each.Since >= Limit;
   return Now - this->DrainStart >= Limit &&
-         Now - Each.IdleSince >= config::DrainQuietTime;
+         Now - Each.Since >= config::DrainQuietTime;
 }
 
 void ConnectionServer::drain() {
--- a/src/node/connection_server.h
+++ b/src/node/connection_server.h
@@ -40,7 +40,7 @@
                       std::shared_ptr<ConnectionHandler> How);
   /// From now on idle connections are kept as while draining.
   void drain();
-  /// Closes connections past their idle limit; this is also done once a second.
+  /// Closes connections past their limits; this is also done once a second.
   void closeIdle();
   /// Takes no new connections at any port; open ones go on, and so do those
   /// that were connected but not yet accepted.
@@ -48,12 +48,17 @@
 
 private:
   using Id = std::uint64_t;
+  enum class State {
+    Idle,
+    Busy,  ///< A thread serves it.
+    Begun, ///< A part of a message has come.
+  };
   /// A connection that waits for its peer, or is being served.
   struct Held {
     std::shared_ptr<Wire> Peer;
     std::shared_ptr<ConnectionHandler> How;
-    Instant IdleSince;
-    bool Busy = false;
+    Instant Since; ///< Of the state, for Begun of the first byte.
+    State Now = State::Idle;
   };
   struct Port {
     Poco::Net::ServerSocket Socket;
--- a/src/node/page_port.cpp
+++ b/src/node/page_port.cpp
@@ -19,8 +19,8 @@
           Request.get("Content-Length") != "0");
 }
 
-/// \returns whether the connection stays open.
-bool send(Wire &Peer, const Page &Shown, bool KeepOpen, bool HeadOnly) {
+ConnectionHandler::Next send(Wire &Peer, const Page &Shown, bool KeepOpen,
+                             bool HeadOnly) {
   HTTPResponse Head(HTTPResponse::HTTP_1_1,
                     static_cast<HTTPResponse::HTTPStatus>(Shown.Status));
   Head.setReason(HTTPResponse::getReasonForStatus(Head.getStatus()));
@@ -30,7 +30,8 @@
     Head.set("Connection", "close");
   const auto Written = Peer.write(headText(Head) + (HeadOnly ? "" : Shown.Text),
                                   bootNow() + config::PageWriteTimeout);
-  return Written && KeepOpen;
+  return Written && KeepOpen ? ConnectionHandler::Next::Idle
+                             : ConnectionHandler::Next::Close;
 }
 
 } // namespace
@@ -47,17 +48,22 @@
   }
 }
 
-bool PagePort::serve(Wire &Peer) {
+Duration PagePort::headLimit() const { return config::PageReadTimeout; }
+
+void PagePort::endLate(Wire &Peer) { Peer.close(); }
+
+ConnectionHandler::Next PagePort::serve(Wire &Peer) {
   const auto Lines =
-      readHead(Peer, HeadKind::Request, bootNow() + config::HeadStartWait,
-               config::PageReadTimeout);
+      readHead(Peer, HeadKind::Request, bootNow(), Duration::zero());
   if (!Lines) {
     const auto *Fault = std::get_if<WireFault>(&Lines.error());
     if (Fault == nullptr)
       return send(Peer,
                   {400, "text/plain", readFaultText(Lines.error()) + "\n"},
                   false, false);
-    return Peer.buffered().empty() && Fault->What == WireFault::Kind::Timeout;
+    if (Fault->What != WireFault::Kind::Timeout)
+      return Next::Close;
+    return Peer.buffered().empty() ? Next::Idle : Next::Rest;
   }
   const auto Request = parseRequest(*Lines);
   if (!Request)
--- a/src/node/page_port.h
+++ b/src/node/page_port.h
@@ -23,7 +23,9 @@
   explicit PagePort(std::function<Page(const std::string &Uri)> PageFor)
       : PageFor(std::move(PageFor)) {}
 
-  bool serve(Wire &Peer) override;
+  Next serve(Wire &Peer) override;
+  void endLate(Wire &Peer) override;
+  [[nodiscard]] Duration headLimit() const override;
   [[nodiscard]] Duration idleLimit(bool Draining) const override;
 
 private:
