The last thread refuses requests and never waits

Cause: `ConnectionServer` served events with its last thread as with any other, so that no thread waited for the next event. What came then stood in the system's buffers, with no limit and unseen. Connections that end took part in it: each held its thread for up to `LingerTime` when its peer didn't close.

Ruled out: descriptors (431 in use), processor, target and queue of the other service (idle).

Change: a thread that takes an event while no other can wait for the next one is the last; handlers are told, and callers' requests are then refused with 503 (not run, come again) without a wait. Peers' calls and pages are served. Ended connections linger on the poll set, so that the last thread doesn't wait for them either. `siskinstage_callers_crowded` counts the events that the last thread took up; a line a second at most names them.

After: 503 at once, 5 of 5 repetitions; 34 integration tests of callers and connections and 119 unit tests pass.

--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -29,8 +29,9 @@
 inline constexpr std::chrono::milliseconds LingerTime = 500ms;
 inline constexpr int CallerThreadStackBytes = 256 * 1024;
 inline constexpr int CallerListenBacklog = 1024;
-/// Requests that a node serves at once, a thread each: more than the largest
-/// entry has in flight, 160 requests/s that wait two seconds in overload.
+/// Threads for callers, one a request, and the last one refuses: more than the
+/// largest entry has in flight, 160 requests/s that wait two seconds in
+/// overload.
 inline constexpr int MaxCallerThreads = 400;
 /// Calls of other nodes, the platform and operators that are served at once.
 inline constexpr int MaxControlThreads = 24;
--- a/src/net/wire.cpp
+++ b/src/net/wire.cpp
@@ -174,16 +174,23 @@
   this->close();
 }
 
-void Wire::finish(Instant Deadline) {
+bool Wire::endSending() {
   try {
     this->Socket.shutdownSend();
   } catch (const Poco::Exception &) {
-    this->close();
-    return; // It was aborted, or the peer is gone.
+    return false; // It was aborted, or the peer is gone.
   }
-  while (this->fill(Deadline))
+  return true;
+}
+
+bool Wire::skipInput(Instant Deadline) {
+  while (timeLeft(Deadline) > Duration::zero()) {
     this->consume(this->buffered().size());
-  this->close();
+    const auto Got = this->fill(bootNow());
+    if (!Got)
+      return Got.error().What == WireFault::Kind::Timeout;
+  }
+  return false;
 }
 
 void Wire::close() {
--- a/src/net/wire.h
+++ b/src/net/wire.h
@@ -57,9 +57,11 @@
   /// Ends the connection at once with a reset, so that the peer can't take a
   /// cut answer for a whole one.
   void abort();
-  /// Ends this side and reads until the peer ends too or \p Deadline passes, so
-  /// that the last bytes written are not lost with a reset.
-  void finish(Instant Deadline);
+  /// Ends this side. \returns false if the connection is ended already.
+  bool endSending();
+  /// Drops the bytes that have come, without waiting for more.
+  /// \returns whether the peer may still send, and \p Deadline is not past.
+  bool skipInput(Instant Deadline);
   void close();
   [[nodiscard]] std::string peer() const;
   /// For poll sets.
--- a/src/node/caller_port.cpp
+++ b/src/node/caller_port.cpp
@@ -50,11 +50,11 @@
              {408, "the head did not come whole in time"}, Duration::zero());
 }
 
-ConnectionHandler::Next CallerPort::serve(Wire &Caller) {
+ConnectionHandler::Next CallerPort::serve(Wire &Caller, bool LastThread) {
   const auto Lines =
       readHead(Caller, HeadKind::Request, bootNow(), Duration::zero());
   if (Lines)
-    return this->serveHead(Caller, *Lines);
+    return this->serveHead(Caller, *Lines, LastThread);
   if (const auto *Malformed = std::get_if<HttpRefusal>(&Lines.error())) {
     refuseHead(this->Context, Caller, *Malformed);
     return Next::Close;
@@ -67,8 +67,8 @@
   return Next::Close;
 }
 
-ConnectionHandler::Next CallerPort::serveHead(Wire &Caller,
-                                              const std::string &Lines) {
+ConnectionHandler::Next
+CallerPort::serveHead(Wire &Caller, const std::string &Lines, bool LastThread) {
   const Counted Running(this->Context.RequestsInFlight);
   const Instant Arrived = bootNow();
   auto Head = parseRequest(Lines);
@@ -82,7 +82,8 @@
     refuseHead(this->Context, Caller, Request.error());
     return Next::Close;
   }
-  const bool Open = RequestFlow(this->Context, Caller, *Request).run();
+  const bool Open =
+      RequestFlow(this->Context, Caller, *Request, LastThread).run();
   return Open ? Next::Idle : Next::Close;
 }
 
--- a/src/node/caller_port.h
+++ b/src/node/caller_port.h
@@ -13,7 +13,7 @@
 public:
   explicit CallerPort(NodeContext &Context) : Context(Context) {}
 
-  Next serve(Wire &Caller) override;
+  Next serve(Wire &Caller, bool LastThread) override;
   void endLate(Wire &Caller) override;
   [[nodiscard]] Duration headLimit() const override;
   [[nodiscard]] Duration idleLimit(bool Draining) const override;
@@ -21,7 +21,7 @@
 private:
   NodeContext &Context;
 
-  Next serveHead(Wire &Caller, const std::string &Lines);
+  Next serveHead(Wire &Caller, const std::string &Lines, bool LastThread);
 };
 
 } // namespace siskinstage
--- a/src/node/caller_reply.h
+++ b/src/node/caller_reply.h
@@ -29,6 +29,9 @@
   /// Ends the connection, so that the caller sees that the answer is cut.
   void breakOff();
 
+  /// From now on only what the system takes at once is written; a caller that
+  /// left no room for it loses its connection.
+  void hurry() { this->WriteTime = Duration::zero(); }
   /// The connection ends after this answer.
   void closeAfter() { this->Close = true; }
   [[nodiscard]] bool closes() const { return this->Close; }
--- a/src/node/connection_handler.h
+++ b/src/node/connection_handler.h
@@ -21,7 +21,9 @@
 
   /// Serves what came in on a connection; blocks once a message has begun to
   /// be served, but not for its first line and headers.
-  virtual Next serve(Wire &Peer) = 0;
+  /// \param LastThread no thread waits for the next event meanwhile, so that
+  ///        nothing may block: what would is to be refused.
+  virtual Next serve(Wire &Peer, bool LastThread) = 0;
   /// Ends a connection whose message has begun and did not go on in time. Must
   /// not block.
   virtual void endLate(Wire &Peer) = 0;
--- a/src/node/connection_server.cpp
+++ b/src/node/connection_server.cpp
@@ -26,19 +26,19 @@
 } // namespace
 
 ConnectionServer::ConnectionServer(const Limits &Most, int PollSet,
-                                   std::atomic<std::uint32_t> &Open)
-    : Most(Most), PollSet(PollSet), Open(Open),
+                                   ConnectionCounts &Counts)
+    : Most(Most), PollSet(PollSet), Counts(Counts),
       Pool("connections", 1, Most.Threads, ThreadIdleSeconds,
            config::CallerThreadStackBytes),
       Worker(*this, &ConnectionServer::work) {}
 
 Result<std::unique_ptr<ConnectionServer>>
-ConnectionServer::start(const Limits &Most, std::atomic<std::uint32_t> &Open) {
+ConnectionServer::start(const Limits &Most, ConnectionCounts &Counts) {
   const int PollSet = ::epoll_create1(EPOLL_CLOEXEC);
   if (PollSet < 0)
     return fail(Step::Listen, "poll set", "the system gives no descriptor");
   std::unique_ptr<ConnectionServer> New(
-      new ConnectionServer(Most, PollSet, Open));
+      new ConnectionServer(Most, PollSet, Counts));
   const std::lock_guard<std::mutex> Guard(New->Lock);
   New->NextSweep = bootNow() + config::IdleSweepPeriod;
   New->ensureWaiter();
@@ -84,9 +84,11 @@
              {{"errno", std::to_string(errno)}});
 }
 
-void ConnectionServer::ensureWaiter() {
-  if (this->Waiting > 0 || this->Running >= this->Most.Threads)
-    return;
+bool ConnectionServer::ensureWaiter() {
+  if (this->Waiting > 0)
+    return true;
+  if (this->Running >= this->Most.Threads)
+    return false;
   try {
     this->Pool.start(this->Worker);
   } catch (const Poco::Exception &Fault) {
@@ -94,10 +96,11 @@
     logEvent(LogLevel::Error, "no further thread serves connections",
              {{"threads", std::to_string(this->Running)},
               {"reason", Fault.displayText()}});
-    return;
+    return false;
   }
   ++this->Running;
   ++this->Waiting;
+  return true;
 }
 
 bool ConnectionServer::waitAgain() {
@@ -115,21 +118,23 @@
   while (true) {
     epoll_event Event{};
     const int Got = ::epoll_wait(this->PollSet, &Event, 1, Pause);
+    bool Last = false;
     {
       const std::lock_guard<std::mutex> Guard(this->Lock);
       --this->Waiting;
-      if (Got > 0)
-        this->ensureWaiter();
+      Last = Got > 0 && !this->ensureWaiter();
     }
+    if (Last)
+      ++this->Counts.Crowded;
     if (Got > 0)
-      this->serveEvent(Event.data.u64);
+      this->serveEvent(Event.data.u64, Last);
     this->sweep();
     if (!this->waitAgain())
       return;
   }
 }
 
-void ConnectionServer::serveEvent(Id Which) {
+void ConnectionServer::serveEvent(Id Which, bool LastThread) {
   bool IsPort = false;
   {
     const std::lock_guard<std::mutex> Guard(this->Lock);
@@ -138,7 +143,7 @@
   if (IsPort)
     this->accept(Which);
   else
-    this->serveConnection(Which);
+    this->serveConnection(Which, LastThread);
 }
 
 void ConnectionServer::accept(Id Which) {
@@ -167,48 +172,71 @@
   return true;
 }
 
-void ConnectionServer::serveConnection(Id Which) {
-  std::shared_ptr<Wire> Peer;
-  std::shared_ptr<ConnectionHandler> How;
-  Instant Begun = bootNow();
+std::optional<ConnectionServer::State>
+ConnectionServer::serveHeld(Held &Each, bool LastThread) {
+  using Next = ConnectionHandler::Next;
+  Wire &Peer = *Each.Peer;
+  if (Each.Now != State::Ending) {
+    if (Each.Now == State::Idle)
+      Each.Since = bootNow();
+    Next Then = Each.How->serve(Peer, LastThread);
+    while (Then == Next::Idle && !Peer.buffered().empty()) {
+      Each.Since = bootNow();
+      Then = Each.How->serve(Peer, LastThread);
+    }
+    if (Then == Next::Rest)
+      return State::Begun;
+    Each.Since = bootNow();
+    if (Then == Next::Idle)
+      return State::Idle;
+    if (!Peer.endSending())
+      return std::nullopt;
+  }
+  // Closing with bytes unread would reset the connection, and the answer could
+  // be lost with it.
+  if (!Peer.skipInput(Each.Since + config::LingerTime))
+    return std::nullopt;
+  return State::Ending;
+}
+
+void ConnectionServer::serveConnection(Id Which, bool LastThread) {
+  Held Taken;
   {
     const std::lock_guard<std::mutex> Guard(this->Lock);
     const auto Found = this->Connections.find(Which);
     if (Found == this->Connections.end())
       return;
-    if (Found->second.Now == State::Begun)
-      Begun = Found->second.Since;
+    Taken = Found->second;
     Found->second.Now = State::Busy;
-    Peer = Found->second.Peer;
-    How = Found->second.How;
   }
-  auto Next = ConnectionHandler::Next::Idle;
+  std::optional<State> Then;
   try {
-    Next = How->serve(*Peer);
-    while (Next == ConnectionHandler::Next::Idle && !Peer->buffered().empty()) {
-      Begun = bootNow();
-      Next = How->serve(*Peer);
-    }
-    if (Next == ConnectionHandler::Next::Close)
-      Peer->finish(bootNow() + config::LingerTime);
+    Then = serveHeld(Taken, LastThread);
   } catch (const std::exception &Fault) {
     logEvent(LogLevel::Error, "a connection ended on an exception",
-             {{"peer", Peer->peer()}, {"reason", Fault.what()}});
-    Peer->abort();
-    Next = ConnectionHandler::Next::Close;
+             {{"peer", Taken.Peer->peer()}, {"reason", Fault.what()}});
+    Taken.Peer->abort();
   }
   const std::lock_guard<std::mutex> Guard(this->Lock);
-  if (Next == ConnectionHandler::Next::Close) {
+  if (!Then) {
     this->Connections.erase(Which);
     this->count();
     return;
   }
-  Peer->shrink();
-  Held &Kept = this->Connections[Which];
-  const bool IsIdle = Next == ConnectionHandler::Next::Idle;
-  Kept.Now = IsIdle ? State::Idle : State::Begun;
-  Kept.Since = IsIdle ? bootNow() : Begun;
-  this->watch(Peer->descriptor(), Which, EPOLL_CTL_MOD);
+  Taken.Peer->shrink();
+  Taken.Now = *Then;
+  const int Descriptor = Taken.Peer->descriptor();
+  this->Connections[Which] = std::move(Taken);
+  this->watch(Descriptor, Which, EPOLL_CTL_MOD);
+}
+
+void ConnectionServer::logCounts() {
+  const std::uint64_t Crowded = this->Counts.Crowded.load();
+  if (Crowded != this->CrowdedLogged)
+    logEvent(LogLevel::Warn, "all threads are taken, requests are refused",
+             {{"threads", std::to_string(this->Running)},
+              {"times", std::to_string(Crowded - this->CrowdedLogged)}});
+  this->CrowdedLogged = Crowded;
 }
 
 void ConnectionServer::sweep() {
@@ -226,6 +254,7 @@
   {
     const std::lock_guard<std::mutex> Guard(this->Lock);
     this->NextSweep = Now + config::IdleSweepPeriod;
+    this->logCounts();
     std::erase_if(this->Connections, [&](const auto &Entry) {
       const bool Past = this->isPastLimit(Entry.second, Now);
       if (Past && Entry.second.Now == State::Begun)
@@ -243,6 +272,8 @@
     return false;
   if (Each.Now == State::Begun)
     return Now - Each.Since >= Each.How->headLimit();
+  if (Each.Now == State::Ending)
+    return Now - Each.Since >= config::LingerTime;
   const Duration Limit = Each.How->idleLimit(this->Draining);
   if (!this->Draining)
     return Now - Each.Since >= Limit;
@@ -267,7 +298,7 @@
 }
 
 void ConnectionServer::count() {
-  this->Open.store(static_cast<std::uint32_t>(this->Connections.size()));
+  this->Counts.Open.store(static_cast<std::uint32_t>(this->Connections.size()));
 }
 
 } // namespace siskinstage
--- a/src/node/connection_server.h
+++ b/src/node/connection_server.h
@@ -2,6 +2,7 @@
 #define SISKINSTAGE_NODE_CONNECTION_SERVER_H
 
 #include "net/wire.h"
+#include "node/connection_counts.h"
 #include "node/connection_handler.h"
 #include "siskinstage/error.h"
 #include "siskinstage/strong_id.h"
@@ -9,10 +10,10 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/RunnableAdapter.h>
 #include <Poco/ThreadPool.h>
-#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 
 namespace siskinstage {
@@ -25,12 +26,11 @@
 public:
   struct Limits {
     std::size_t Connections = 0; ///< More are closed as soon as they come.
-    int Threads = 0;             ///< Requests that are served at once.
+    int Threads = 0; ///< One more than the requests that are served at once.
   };
 
-  /// \param Open shows the number of open connections.
   static Result<std::unique_ptr<ConnectionServer>>
-  start(const Limits &Most, std::atomic<std::uint32_t> &Open);
+  start(const Limits &Most, ConnectionCounts &Counts);
   ~ConnectionServer();
   ConnectionServer(const ConnectionServer &) = delete;
   ConnectionServer &operator=(const ConnectionServer &) = delete;
@@ -50,8 +50,9 @@
   using Id = std::uint64_t;
   enum class State {
     Idle,
-    Busy,  ///< A thread serves it.
-    Begun, ///< A part of a message has come.
+    Busy,   ///< A thread serves it.
+    Begun,  ///< A part of a message has come.
+    Ending, ///< The last answer is sent; the peer may still be sending.
   };
   /// A connection that waits for its peer, or is being served.
   struct Held {
@@ -67,7 +68,7 @@
 
   const Limits Most;
   const int PollSet;
-  std::atomic<std::uint32_t> &Open;
+  ConnectionCounts &Counts;
   Poco::ThreadPool Pool;
   Poco::RunnableAdapter<ConnectionServer> Worker;
   std::mutex Lock;
@@ -80,21 +81,26 @@
   bool Draining = false;
   Instant DrainStart;
   Instant NextSweep;
+  std::uint64_t CrowdedLogged = 0; ///< Of Counts.Crowded.
 
-  ConnectionServer(const Limits &Most, int PollSet,
-                   std::atomic<std::uint32_t> &Open);
+  ConnectionServer(const Limits &Most, int PollSet, ConnectionCounts &Counts);
   void work();
   /// Starts a thread if none waits. The lock must be held.
-  void ensureWaiter();
+  /// \returns whether one waits.
+  bool ensureWaiter();
   /// Counts this thread as waiting again. \returns false if it is to end.
   bool waitAgain();
-  void serveEvent(Id Which);
+  void serveEvent(Id Which, bool LastThread);
   void accept(Id Which);
   /// Accepts one connection of a port. The lock must be held.
   /// \returns false if none is left.
   bool acceptOne(Port &From);
-  void serveConnection(Id Which);
+  void serveConnection(Id Which, bool LastThread);
+  /// \returns the state in which the connection is kept, nothing if it is not.
+  static std::optional<State> serveHeld(Held &Each, bool LastThread);
   void sweep();
+  /// Logs what has been counted since the last time. The lock must be held.
+  void logCounts();
   [[nodiscard]] bool isPastLimit(const Held &Each, Instant Now) const;
   /// Shows the number of open connections. The lock must be held.
   void count();
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -57,6 +57,8 @@
                   .Add({}, LatencySeconds)),
       Callers(gauge(*this->Registry, "siskinstage_caller_connections",
                     "Open connections of callers.")),
+      Crowded(gauge(*this->Registry, "siskinstage_callers_crowded",
+                    "Times that callers had all threads taken.")),
       Ready(gauge(*this->Registry, "siskinstage_ready",
                   "1 if the node answers callers.")),
       ObservationsLost(gauge(*this->Registry, "siskinstage_observations_lost",
@@ -105,6 +107,7 @@
 }
 
 void Metrics::setCallers(double Count) { this->Callers.Set(Count); }
+void Metrics::setCrowded(double Times) { this->Crowded.Set(Times); }
 void Metrics::setReady(bool IsReady) { this->Ready.Set(IsReady ? 1 : 0); }
 
 void Metrics::setObservationsLost(double Count) {
--- a/src/node/metrics.h
+++ b/src/node/metrics.h
@@ -32,6 +32,7 @@
   void ejected(const std::string &Service);
   void latency(Duration Whole);
   void setCallers(double Count);
+  void setCrowded(double Times);
   void setReady(bool Ready);
   void setObservationsLost(double Count);
   void setRevision(double Highest);
@@ -53,6 +54,7 @@
   prometheus::Family<prometheus::Counter> &Ejections;
   prometheus::Histogram &Latency;
   prometheus::Gauge &Callers;
+  prometheus::Gauge &Crowded;
   prometheus::Gauge &Ready;
   prometheus::Gauge &ObservationsLost;
   prometheus::Gauge &HighestRevision;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -133,7 +133,7 @@
   const Instant Limit = bootNow() + Shared.Set.ShutdownLimit;
   Shared.Stop.sleep(Shared.Set.AcceptLinger);
   this->Callers->stopAccepting();
-  while (Shared.CallerConnections.load() > 0 && bootNow() < Limit) {
+  while (Shared.CallerConnections.Open.load() > 0 && bootNow() < Limit) {
     this->Callers->closeIdle();
     Shared.Stop.sleep(config::DecisionPeriod);
   }
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -5,6 +5,7 @@
 #include "core/observation.h"
 #include "node/account_gate.h"
 #include "node/config_update.h"
+#include "node/connection_counts.h"
 #include "node/doorbell.h"
 #include "node/gossip_order.h"
 #include "node/key_owner.h"
@@ -52,8 +53,8 @@
   std::atomic<Duration::rep> LastGossip{0};
   StopFlag Stop;
   std::atomic<bool> Draining{false}; ///< SIGTERM came.
-  std::atomic<std::uint32_t> CallerConnections{0};
-  std::atomic<std::uint32_t> ControlConnections{0};
+  ConnectionCounts CallerConnections;
+  ConnectionCounts ControlConnections;
   std::atomic<std::uint32_t> RequestsInFlight{0};
   std::atomic<std::uint64_t> NextRequest{1};
 
--- a/src/node/operator_pages.cpp
+++ b/src/node/operator_pages.cpp
@@ -26,7 +26,9 @@
 
 Page metricsPage(NodeContext &Context) {
   Metrics &Measured = Context.Measured;
-  Measured.setCallers(Context.CallerConnections.load());
+  Measured.setCallers(Context.CallerConnections.Open.load());
+  Measured.setCrowded(
+      static_cast<double>(Context.CallerConnections.Crowded.load()));
   Measured.setReady(Context.ready());
   Measured.setObservationsLost(
       static_cast<double>(Context.Observations.lost()));
--- a/src/node/page_port.cpp
+++ b/src/node/page_port.cpp
@@ -52,7 +52,7 @@
 
 void PagePort::endLate(Wire &Peer) { Peer.close(); }
 
-ConnectionHandler::Next PagePort::serve(Wire &Peer) {
+ConnectionHandler::Next PagePort::serve(Wire &Peer, bool /*LastThread*/) {
   const auto Lines =
       readHead(Peer, HeadKind::Request, bootNow(), Duration::zero());
   if (!Lines) {
--- a/src/node/page_port.h
+++ b/src/node/page_port.h
@@ -23,7 +23,7 @@
   explicit PagePort(std::function<Page(const std::string &Uri)> PageFor)
       : PageFor(std::move(PageFor)) {}
 
-  Next serve(Wire &Peer) override;
+  Next serve(Wire &Peer, bool LastThread) override;
   void endLate(Wire &Peer) override;
   [[nodiscard]] Duration headLimit() const override;
   [[nodiscard]] Duration idleLimit(bool Draining) const override;
--- a/src/node/request_flow.cpp
+++ b/src/node/request_flow.cpp
@@ -38,8 +38,9 @@
 } // namespace
 
 RequestFlow::RequestFlow(NodeContext &Context, Wire &Caller,
-                         const CallerRequest &Request)
+                         const CallerRequest &Request, bool LastThread)
     : Context(Context), Caller(Caller), Request(Request),
+      LastThread(LastThread),
       Body(Caller, Request.Framing, Request.ExpectContinue,
            Request.Arrived +
                Request.TimeLeft.value_or(config::DefaultDeadline)),
@@ -131,8 +132,14 @@
     this->serveInternal(peerAnswer(this->Context, this->Request));
     return;
   }
+  const bool Keyed = this->Request.Key.has_value();
+  if (this->LastThread) {
+    this->Reply.hurry();
+    this->refuse(503, Keyed ? Outcome::Unknown : Outcome::NotRun, Step::Queue,
+                 this->Context.Set.Id.str(), "all threads are taken");
+    return;
+  }
   if (!this->Now->Configured) {
-    const bool Keyed = this->Request.Key.has_value();
     this->refuse(503, Keyed ? Outcome::Unknown : Outcome::NotRun, Step::Route,
                  this->Context.Set.Id.str(), "the node is not ready yet");
     return;
--- a/src/node/request_flow.h
+++ b/src/node/request_flow.h
@@ -17,7 +17,9 @@
 /// One caller's request from its checked head to the end of its answer.
 class RequestFlow {
 public:
-  RequestFlow(NodeContext &Context, Wire &Caller, const CallerRequest &Request);
+  /// \param LastThread see ConnectionHandler::serve.
+  RequestFlow(NodeContext &Context, Wire &Caller, const CallerRequest &Request,
+              bool LastThread);
 
   /// Answers the request. \returns whether the connection may go on.
   bool run();
@@ -26,6 +28,7 @@
   NodeContext &Context;
   Wire &Caller;
   const CallerRequest &Request;
+  const bool LastThread;
   RequestBody Body;
   CallerReply Reply;
   std::shared_ptr<const Snapshot> Now;
--- a/src/node/state_dump.cpp
+++ b/src/node/state_dump.cpp
@@ -66,8 +66,8 @@
   Dump["incarnation"] = static_cast<Json::UInt64>(Context.Keys.process().Value);
   Dump["ready"] = Context.ready();
   Dump["draining"] = Context.Draining.load();
-  Dump["caller_connections"] = Context.CallerConnections.load();
-  Dump["control_connections"] = Context.ControlConnections.load();
+  Dump["caller_connections"] = Context.CallerConnections.Open.load();
+  Dump["control_connections"] = Context.ControlConnections.Open.load();
   Dump["requests_in_flight"] = Context.RequestsInFlight.load();
   Dump["observations_lost"] =
       static_cast<Json::UInt64>(Context.Observations.lost());
--- a/tests/integration/test_crowded_node.py
+++ b/tests/integration/test_crowded_node.py
@@ -1,16 +1,20 @@
 """A node whose threads are all taken: who comes then is not kept waiting past its
 route's timeout."""
 
+import json
 import re
+import select
 import socket
 import time
 import unittest
 
 from fleet import wait_for
-from platform_fleet import FRONT, HOST, OPERATOR, PlatformFleet, ask
+from platform_fleet import FRONT, HOST, OPERATOR, PlatformFleet, ask, route
 
 TIMEOUT_S = 1.5
 SLACK_S = 0.5
+#: Longer than a body may stall.
+LONG_TIMEOUT_S = 8
 #: How long a head may take.
 HEAD_S = 10
 #: Requests that a node serves at once, a thread each.
@@ -28,14 +32,31 @@
     def setUp(self):
         self.fleet = PlatformFleet(nodes=1, servers=2).__enter__()
         self.addCleanup(self.fleet.stop)
+        self.fleet.configure({
+            "r1": route("/reads/", "reads", timeout=TIMEOUT_S),
+            "r2": route("/slow/", "orders", "unsafe", LONG_TIMEOUT_S)})
         self.node = self.fleet.nodes[0]
+        self.log_start = len(self.fleet.log_of(self.node))
+        wait_for(lambda: self.fleet.request(
+            "/slow/1", method="POST", body=b"x")[0] == 200, 10, "the route")
 
     def crowd(self, text):
         """Connections that have sent only text."""
+        peers = []
         for _ in range(CROWD):
             peer = socket.create_connection((self.node, FRONT))
             self.addCleanup(peer.close)
             peer.sendall(text)
+            peers.append(peer)
+        return peers
+
+    def log(self):
+        """What the node has logged in this test."""
+        return self.fleet.log_of(self.node)[self.log_start:]
+
+    def in_flight(self):
+        state = json.loads(ask(self.node, OPERATOR, "/state")[2])
+        return state["node"]["requests_in_flight"]
 
     def connections(self):
         return metric(self.node, "siskinstage_caller_connections")
@@ -43,7 +64,7 @@
     def ask_kept(self, peer):
         """Status of a request on a kept connection, and the time it took."""
         begin = time.monotonic()
-        peer.settimeout(HEAD_S + 3)
+        peer.settimeout(LONG_TIMEOUT_S + 4)
         peer.sendall(f"GET /reads/a HTTP/1.1\r\nHost: {HOST}\r\n"
                      f"Attempt-Id: {int(begin * 1e6):016x}\r\n"
                      "Deadline-Remaining: 20000\r\n\r\n".encode())
@@ -70,3 +91,28 @@
             self.assertTrue(answer.startswith(b"HTTP/1.1 408 "), answer[:80])
             self.assertGreater(time.monotonic() - begin, HEAD_S - 0.1)
             self.assertEqual(peer.recv(1), b"")
+
+    def test_requests_beyond_those_served_at_once_are_answered_in_time(self):
+        with socket.create_connection((self.node, FRONT)) as kept:
+            self.assertEqual(self.ask_kept(kept)[0], 200)
+            crowd = self.crowd(f"POST /slow/a HTTP/1.1\r\nHost: {HOST}\r\n"
+                               "Deadline-Remaining: 20000\r\n"
+                               "Content-Length: 100\r\n\r\n".encode())
+            wait_for(lambda: self.in_flight() >= THREADS - 1, 4, "the crowd")
+            status, took = self.ask_kept(kept)
+            self.assertLess(took, TIMEOUT_S + SLACK_S)
+            self.assertEqual(status, 503)
+            wait_for(lambda: metric(self.node, "siskinstage_callers_crowded")
+                     > CROWD - THREADS, 3, "all of the crowd")
+            refused = [peer for peer in crowd
+                       if select.select([peer], [], [], 0)[0]]
+            self.assertEqual({peer.recv(65536).split(b" ")[1]
+                              for peer in refused}, {b"503"})
+            self.assertGreaterEqual(len(refused), CROWD - THREADS)
+            said = "all threads are taken, requests are refused"
+            wait_for(lambda: said in self.log(), 3, "a log line")
+            self.assertLess(self.log().count(said), 5)
+            for peer in crowd:
+                peer.close()
+            wait_for(lambda: self.ask_kept(kept)[0] == 200, 3,
+                     "the node serving again")
