A node without descriptors rests its ports

Nothing was logged.

Cause: a connection that can't be accepted stays in the port's queue; the port was watched again at once, and its event came back at once.

Ruled out: calls of the kept connections (none was busy).

`siskinstage_callers_unaccepted` counts, a line a second at most says so.

--- a/src/node/connection_counts.h
+++ b/src/node/connection_counts.h
@@ -9,6 +9,8 @@
 /// What a ConnectionServer shows of its connections.
 struct ConnectionCounts {
   std::atomic<std::uint32_t> Open{0};
+  /// Times that the system gave no descriptor for one that came.
+  std::atomic<std::uint64_t> Unaccepted{0};
   /// Events that the last thread took up, so that requests were refused.
   std::atomic<std::uint64_t> Crowded{0};
 };
--- a/src/node/connection_server.cpp
+++ b/src/node/connection_server.cpp
@@ -23,6 +23,18 @@
 /// A thread that ended is kept for reuse as long as a burst lasts.
 constexpr int ThreadIdleSeconds = 5;
 
+/// Whether accepting failed for want of descriptors or memory.
+bool isShortage(int Code) {
+  return Code == EMFILE || Code == ENFILE || Code == ENOBUFS || Code == ENOMEM;
+}
+
+/// Logs \p What if \p Count has grown since it was logged.
+void logGrowth(const char *What, std::uint64_t Count, std::uint64_t &Logged) {
+  if (Count != Logged)
+    logEvent(LogLevel::Warn, What, {{"times", std::to_string(Count - Logged)}});
+  Logged = Count;
+}
+
 } // namespace
 
 ConnectionServer::ConnectionServer(const Limits &Most, int PollSet,
@@ -151,25 +163,38 @@
   const auto Found = this->Ports.find(Which);
   if (Found == this->Ports.end())
     return;
-  this->acceptOne(Found->second);
-  this->watch(Found->second.Socket.impl()->sockfd(), Which, EPOLL_CTL_MOD);
+  Port &From = Found->second;
+  // Without a descriptor the connection stays where it is, and a watched port
+  // would have its next event at once.
+  From.Resting = this->acceptOne(From) == Accepted::NoDescriptor;
+  if (!From.Resting)
+    this->watch(From.Socket.impl()->sockfd(), Which, EPOLL_CTL_MOD);
 }
 
-bool ConnectionServer::acceptOne(Port &From) {
+void ConnectionServer::wakePorts() {
+  for (auto &[Which, Each] : this->Ports)
+    if (std::exchange(Each.Resting, false))
+      this->watch(Each.Socket.impl()->sockfd(), Which, EPOLL_CTL_MOD);
+}
+
+ConnectionServer::Accepted ConnectionServer::acceptOne(Port &From) {
   Poco::Net::StreamSocket Socket;
   try {
     Socket = From.Socket.acceptConnection();
-  } catch (const Poco::Exception &) {
-    return false; // It was gone again, or another thread has it.
+  } catch (const Poco::Exception &Fault) {
+    if (!isShortage(Fault.code()))
+      return Accepted::None; // It was gone again, or another thread has it.
+    ++this->Counts.Unaccepted;
+    return Accepted::NoDescriptor;
   }
   if (this->Connections.size() >= this->Most.Connections)
-    return true; // Closed unread, which tells the peer that nothing was run.
+    return Accepted::One; // Closed unread: the peer knows that nothing was run.
   const Id New = this->NextId++;
   const auto Peer = std::make_shared<Wire>(Socket);
   this->Connections[New] = {Peer, From.How, bootNow(), State::Idle};
   this->count();
   this->watch(Peer->descriptor(), New, EPOLL_CTL_ADD);
-  return true;
+  return Accepted::One;
 }
 
 std::optional<ConnectionServer::State>
@@ -221,6 +246,9 @@
   if (!Then) {
     this->Connections.erase(Which);
     this->count();
+    // The last reference closes the descriptor.
+    Taken.Peer.reset();
+    this->wakePorts();
     return;
   }
   Taken.Peer->shrink();
@@ -231,12 +259,10 @@
 }
 
 void ConnectionServer::logCounts() {
-  const std::uint64_t Crowded = this->Counts.Crowded.load();
-  if (Crowded != this->CrowdedLogged)
-    logEvent(LogLevel::Warn, "all threads are taken, requests are refused",
-             {{"threads", std::to_string(this->Running)},
-              {"times", std::to_string(Crowded - this->CrowdedLogged)}});
-  this->CrowdedLogged = Crowded;
+  logGrowth("all threads are taken, requests are refused",
+            this->Counts.Crowded.load(), this->CrowdedLogged);
+  logGrowth("no descriptor is left for a connection",
+            this->Counts.Unaccepted.load(), this->UnacceptedLogged);
 }
 
 void ConnectionServer::sweep() {
@@ -262,6 +288,7 @@
       return Past;
     });
     this->count();
+    this->wakePorts();
   }
   for (const Held &Each : Late)
     Each.How->endLate(*Each.Peer);
@@ -290,7 +317,7 @@
 void ConnectionServer::stopAccepting() {
   const std::lock_guard<std::mutex> Guard(this->Lock);
   for (auto &[Which, Each] : this->Ports) {
-    while (this->acceptOne(Each))
+    while (this->acceptOne(Each) == Accepted::One)
       continue;
     Each.Socket.close();
   }
--- a/src/node/connection_server.h
+++ b/src/node/connection_server.h
@@ -64,7 +64,9 @@
   struct Port {
     Poco::Net::ServerSocket Socket;
     std::shared_ptr<ConnectionHandler> How;
+    bool Resting = false; ///< Not watched, for want of a descriptor.
   };
+  enum class Accepted { One, None, NoDescriptor };
 
   const Limits Most;
   const int PollSet;
@@ -81,7 +83,9 @@
   bool Draining = false;
   Instant DrainStart;
   Instant NextSweep;
-  std::uint64_t CrowdedLogged = 0; ///< Of Counts.Crowded.
+  // Of Counts, what was logged already.
+  std::uint64_t CrowdedLogged = 0;
+  std::uint64_t UnacceptedLogged = 0;
 
   ConnectionServer(const Limits &Most, int PollSet, ConnectionCounts &Counts);
   void work();
@@ -93,8 +97,9 @@
   void serveEvent(Id Which, bool LastThread);
   void accept(Id Which);
   /// Accepts one connection of a port. The lock must be held.
-  /// \returns false if none is left.
-  bool acceptOne(Port &From);
+  Accepted acceptOne(Port &From);
+  /// Watches the resting ports again. The lock must be held.
+  void wakePorts();
   void serveConnection(Id Which, bool LastThread);
   /// \returns the state in which the connection is kept, nothing if it is not.
   static std::optional<State> serveHeld(Held &Each, bool LastThread);
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -59,6 +59,8 @@
                     "Open connections of callers.")),
       Crowded(gauge(*this->Registry, "siskinstage_callers_crowded",
                     "Times that callers had all threads taken.")),
+      Unaccepted(gauge(*this->Registry, "siskinstage_callers_unaccepted",
+                       "Times that no descriptor was left for a caller.")),
       Ready(gauge(*this->Registry, "siskinstage_ready",
                   "1 if the node answers callers.")),
       ObservationsLost(gauge(*this->Registry, "siskinstage_observations_lost",
@@ -108,6 +110,7 @@
 
 void Metrics::setCallers(double Count) { this->Callers.Set(Count); }
 void Metrics::setCrowded(double Times) { this->Crowded.Set(Times); }
+void Metrics::setUnaccepted(double Times) { this->Unaccepted.Set(Times); }
 void Metrics::setReady(bool IsReady) { this->Ready.Set(IsReady ? 1 : 0); }
 
 void Metrics::setObservationsLost(double Count) {
--- a/src/node/metrics.h
+++ b/src/node/metrics.h
@@ -33,6 +33,7 @@
   void latency(Duration Whole);
   void setCallers(double Count);
   void setCrowded(double Times);
+  void setUnaccepted(double Times);
   void setReady(bool Ready);
   void setObservationsLost(double Count);
   void setRevision(double Highest);
@@ -55,6 +56,7 @@
   prometheus::Histogram &Latency;
   prometheus::Gauge &Callers;
   prometheus::Gauge &Crowded;
+  prometheus::Gauge &Unaccepted;
   prometheus::Gauge &Ready;
   prometheus::Gauge &ObservationsLost;
   prometheus::Gauge &HighestRevision;
--- a/tests/integration/test_crowded_node.py
+++ b/tests/integration/test_crowded_node.py
@@ -1,14 +1,16 @@
-"""A node whose threads are all taken: who comes then is not kept waiting past its
-route's timeout."""
+"""A node whose threads, connections or descriptors are all taken: who comes then is
+not kept waiting past its route's timeout, and the node shows it."""
 
 import json
+import pathlib
 import re
+import resource
 import select
 import socket
 import time
 import unittest
 
-from fleet import wait_for
+from fleet import process_usage, wait_for
 from platform_fleet import FRONT, HOST, OPERATOR, PlatformFleet, ask, route
 
 TIMEOUT_S = 1.5
@@ -20,6 +22,8 @@
 #: Requests that a node serves at once, a thread each.
 THREADS = 400
 CROWD = THREADS + 30
+SPARE_DESCRIPTORS = 20
+REST_S = 2
 
 
 def metric(node, name):
@@ -28,9 +32,12 @@
         rf"^{name}(?:{{[^}}]*}})? (\S+)$", text, re.M))
 
 
-class CrowdedNode(unittest.TestCase):
+class OneNode(unittest.TestCase):
+    node_flags = ()
+
     def setUp(self):
-        self.fleet = PlatformFleet(nodes=1, servers=2).__enter__()
+        self.fleet = PlatformFleet(nodes=1, servers=2,
+                                   node_flags=self.node_flags).__enter__()
         self.addCleanup(self.fleet.stop)
         self.fleet.configure({
             "r1": route("/reads/", "reads", timeout=TIMEOUT_S),
@@ -40,10 +47,10 @@
         wait_for(lambda: self.fleet.request(
             "/slow/1", method="POST", body=b"x")[0] == 200, 10, "the route")
 
-    def crowd(self, text):
+    def crowd(self, text, size=CROWD):
         """Connections that have sent only text."""
         peers = []
-        for _ in range(CROWD):
+        for _ in range(size):
             peer = socket.create_connection((self.node, FRONT))
             self.addCleanup(peer.close)
             peer.sendall(text)
@@ -72,6 +79,8 @@
         return (int(answer.split(b" ")[1]) if answer else None,
                 time.monotonic() - begin)
 
+
+class CrowdedNode(OneNode):
     def test_half_sent_heads_hold_up_nobody(self):
         with socket.create_connection((self.node, FRONT)) as kept:
             self.assertEqual(self.ask_kept(kept)[0], 200)
@@ -116,3 +125,20 @@
                 peer.close()
             wait_for(lambda: self.ask_kept(kept)[0] == 200, 3,
                      "the node serving again")
+
+    def test_without_descriptors_the_node_rests_and_then_goes_on(self):
+        process = self.fleet.processes[self.node]
+        used = len(list(pathlib.Path(f"/proc/{process.pid}/fd").iterdir()))
+        _, most = resource.prlimit(process.pid, resource.RLIMIT_NOFILE)
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE,
+                         (used + SPARE_DESCRIPTORS, most))
+        crowd = self.crowd(b"", 2 * SPARE_DESCRIPTORS)
+        before = process_usage(process.pid)[1]
+        time.sleep(REST_S)
+        self.assertLess(process_usage(process.pid)[1] - before, 0.1 * REST_S)
+        said = "no descriptor is left for a connection"
+        self.assertIn(self.log().count(said), range(1, 2 * REST_S))
+        for peer in crowd:
+            peer.close()
+        wait_for(lambda: self.fleet.request("/reads/a")[0] == 200, 3,
+                 "the node serving again")
--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -36,7 +36,8 @@
 class PlatformFleet:
     """Store, servers and nodes of one test. Use it in a with statement."""
 
-    def __init__(self, nodes=4, servers=3, services=("reads", "orders")):
+    def __init__(self, nodes=4, servers=3, services=("reads", "orders"),
+                 node_flags=()):
         self.store = Store()
         self.servers = [
             Server(i, services[i % len(services)], DOMAINS[i // 2 % 2])
@@ -44,6 +45,7 @@
         self.nodes = [f"127.0.1.{i + 1}" for i in range(nodes)]
         self.version = 5
         self.services = services
+        self.node_flags = node_flags
         self.processes = {}
         self.logs = ROOT / "out" / "logs"
         self.attempts = 0
@@ -113,7 +115,7 @@
                                   for each in self.nodes[:2]),
             f"--bounds={BOUNDS}", "--entries_per_domain=1",
             "--probe_period_ms=0", "--accept_linger_ms=300",
-            "--shutdown_limit_ms=4000"], stdout=log, stderr=log,
+            "--shutdown_limit_ms=4000", *self.node_flags], stdout=log, stderr=log,
             stdin=subprocess.DEVNULL)
         log.close()
 
