Connections closed beyond the limit are counted and logged

Operators saw nothing of them: a node at `max_connections` closed each further connection as soon as it came, without a figure or a line.

Change: `siskinstage_callers_turned_away` counts them; a line a second at most gives their number. They are still closed unread, which tells callers that nothing was run.

Before: test_crowded_node.LimitedNode.test_connections_beyond_the_limit_are_counted failed (0 != 10). After: passes, 6 of 6 repetitions. It failed once in between for a fault of its own: connections of its set-up still counted; it waits for their end now.

--- a/src/node/connection_server.cpp
+++ b/src/node/connection_server.cpp
@@ -187,8 +187,10 @@
     ++this->Counts.Unaccepted;
     return Accepted::NoDescriptor;
   }
-  if (this->Connections.size() >= this->Most.Connections)
+  if (this->Connections.size() >= this->Most.Connections) {
+    ++this->Counts.BeyondLimit;
     return Accepted::One; // Closed unread: the peer knows that nothing was run.
+  }
   const Id New = this->NextId++;
   const auto Peer = std::make_shared<Wire>(Socket);
   this->Connections[New] = {Peer, From.How, bootNow(), State::Idle};
@@ -261,6 +263,8 @@
 void ConnectionServer::logCounts() {
   logGrowth("all threads are taken, requests are refused",
             this->Counts.Crowded.load(), this->CrowdedLogged);
+  logGrowth("connections beyond the limit are closed",
+            this->Counts.BeyondLimit.load(), this->BeyondLimitLogged);
   logGrowth("no descriptor is left for a connection",
             this->Counts.Unaccepted.load(), this->UnacceptedLogged);
 }
--- a/src/node/connection_server.h
+++ b/src/node/connection_server.h
@@ -85,6 +85,7 @@
   Instant NextSweep;
   // Of Counts, what was logged already.
   std::uint64_t CrowdedLogged = 0;
+  std::uint64_t BeyondLimitLogged = 0;
   std::uint64_t UnacceptedLogged = 0;
 
   ConnectionServer(const Limits &Most, int PollSet, ConnectionCounts &Counts);
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -59,6 +59,8 @@
                     "Open connections of callers.")),
       Crowded(gauge(*this->Registry, "siskinstage_callers_crowded",
                     "Times that callers had all threads taken.")),
+      TurnedAway(gauge(*this->Registry, "siskinstage_callers_turned_away",
+                       "Callers' connections closed beyond the limit.")),
       Unaccepted(gauge(*this->Registry, "siskinstage_callers_unaccepted",
                        "Times that no descriptor was left for a caller.")),
       Ready(gauge(*this->Registry, "siskinstage_ready",
@@ -110,6 +112,7 @@
 
 void Metrics::setCallers(double Count) { this->Callers.Set(Count); }
 void Metrics::setCrowded(double Times) { this->Crowded.Set(Times); }
+void Metrics::setTurnedAway(double Count) { this->TurnedAway.Set(Count); }
 void Metrics::setUnaccepted(double Times) { this->Unaccepted.Set(Times); }
 void Metrics::setReady(bool IsReady) { this->Ready.Set(IsReady ? 1 : 0); }
 
--- a/src/node/metrics.h
+++ b/src/node/metrics.h
@@ -33,6 +33,7 @@
   void latency(Duration Whole);
   void setCallers(double Count);
   void setCrowded(double Times);
+  void setTurnedAway(double Count);
   void setUnaccepted(double Times);
   void setReady(bool Ready);
   void setObservationsLost(double Count);
@@ -56,6 +57,7 @@
   prometheus::Histogram &Latency;
   prometheus::Gauge &Callers;
   prometheus::Gauge &Crowded;
+  prometheus::Gauge &TurnedAway;
   prometheus::Gauge &Unaccepted;
   prometheus::Gauge &Ready;
   prometheus::Gauge &ObservationsLost;
--- a/src/node/operator_pages.cpp
+++ b/src/node/operator_pages.cpp
@@ -29,6 +29,8 @@
   Measured.setCallers(Context.CallerConnections.Open.load());
   Measured.setCrowded(
       static_cast<double>(Context.CallerConnections.Crowded.load()));
+  Measured.setTurnedAway(
+      static_cast<double>(Context.CallerConnections.BeyondLimit.load()));
   Measured.setUnaccepted(
       static_cast<double>(Context.CallerConnections.Unaccepted.load()));
   Measured.setReady(Context.ready());
--- a/tests/integration/test_crowded_node.py
+++ b/tests/integration/test_crowded_node.py
@@ -142,3 +142,19 @@
             peer.close()
         wait_for(lambda: self.fleet.request("/reads/a")[0] == 200, 3,
                  "the node serving again")
+
+
+class LimitedNode(OneNode):
+    node_flags = ("--max_connections=20",)
+
+    def test_connections_beyond_the_limit_are_counted(self):
+        wait_for(lambda: self.connections() == 0, 3, "those before ended")
+        crowd = self.crowd(b"", 30)
+        wait_for(lambda: len(select.select(crowd, [], [], 0)[0]) == 10, 3,
+                 "the others closed")
+        self.assertEqual(self.connections(), 20)
+        self.assertEqual(
+            metric(self.node, "siskinstage_callers_turned_away"), 10)
+        said = "connections beyond the limit are closed"
+        wait_for(lambda: said in self.log(), 3, "a log line")
+        self.assertEqual(self.log().count(said), 1)
