An interrupted call no longer takes a caller for gone

Cause: `peerGone` and `stale` took any result of `poll` but 0 for news of the peer. A signal makes even a `poll` that does not wait return -1 (EINTR).

Not shown: that the users' machines do so. Ours block the signals they await and handle no others; theirs end a thread's turn with one.

Change: an interrupted look is repeated. An error other than that still counts as news. A pooled connection is no longer dropped for it either.

--- a/src/net/wire.cpp
+++ b/src/net/wire.cpp
@@ -26,6 +26,17 @@
   return static_cast<int>(std::min<std::int64_t>(Millis, 60'000));
 }
 
+/// Whether one of \p Events, or an error, shows on a descriptor now.
+bool showsNow(int Descriptor, short Events) {
+  pollfd Polled{Descriptor, Events, 0};
+  int Ready = 0;
+  // A signal interrupts even a call that does not wait.
+  do
+    Ready = ::poll(&Polled, 1, 0);
+  while (Ready < 0 && errno == EINTR);
+  return Ready != 0;
+}
+
 bool isGone(short Events) {
   const bool Ended = (Events & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
   return Ended;
@@ -156,14 +167,11 @@
 }
 
 bool Wire::stale() const {
-  pollfd Polled{this->descriptor(), POLLIN | POLLRDHUP, 0};
-  return !this->buffered().empty() || ::poll(&Polled, 1, 0) != 0;
+  return !this->buffered().empty() ||
+         showsNow(this->descriptor(), POLLIN | POLLRDHUP);
 }
 
-bool Wire::peerGone() const {
-  pollfd Polled{this->descriptor(), POLLRDHUP, 0};
-  return ::poll(&Polled, 1, 0) != 0;
-}
+bool Wire::peerGone() const { return showsNow(this->descriptor(), POLLRDHUP); }
 
 void Wire::abort() {
   try {
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -3,8 +3,11 @@
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
+#include <atomic>
 #include <chrono>
+#include <csignal>
 #include <gtest/gtest.h>
+#include <pthread.h>
 #include <thread>
 
 namespace siskinstage {
@@ -66,5 +69,46 @@
   EXPECT_EQ(Ended.error().What, WireFault::Kind::Cancelled);
 }
 
+/// Interrupts this thread's calls with a signal while it lives.
+class Interruptions {
+public:
+  Interruptions() : Caller(pthread_self()) {
+    struct sigaction Action {};
+    Action.sa_handler = [](int) {};
+    sigaction(SIGUSR1, &Action, &this->Before);
+    this->Source = std::thread([this] {
+      while (!this->Ended)
+        pthread_kill(this->Caller, SIGUSR1);
+    });
+  }
+  ~Interruptions() {
+    this->Ended = true;
+    this->Source.join();
+    sigaction(SIGUSR1, &this->Before, nullptr);
+  }
+  Interruptions(const Interruptions &) = delete;
+  Interruptions &operator=(const Interruptions &) = delete;
+
+private:
+  pthread_t Caller;
+  struct sigaction Before {};
+  std::atomic<bool> Ended{false};
+  std::thread Source;
+};
+
+// A caller was taken for gone, and its request ended without an answer.
+TEST(Wire, AnInterruptedCallSaysNothingOfThePeer) {
+  const WirePair Pair;
+  const Interruptions Signals;
+  int Gone = 0;
+  int Stale = 0;
+  for (int I = 0; I < 2'000; ++I) {
+    Gone += Pair.Near.peerGone() ? 1 : 0;
+    Stale += Pair.Near.stale() ? 1 : 0;
+  }
+  EXPECT_EQ(Gone, 0);
+  EXPECT_EQ(Stale, 0);
+}
+
 } // namespace
 } // namespace siskinstage
