A slot that comes too late for its request is left to the next

Callers saw: a request that waited for a slot was sent to a target with next to no time left, broken off there and answered 504, which promises nothing, where 503 would have let it come again. The users' record has one that was sent 0.15 s before it was broken off at its route's timeout.

Cause: the gate looked at the usual latency only before a request began to wait (`tooLate`); in the queue it counted the deadline itself.

Ruled out: the time of waiting in the queue alone (at most 2 s, `MaxQueueWait`).

Change: a request waits only as long as a usual one would still end before its deadline, and takes no slot after that. While no latency is known it is as before.

Before: ServiceGate.ASlotThatComesTooLateToBeOfUseIsNotTaken failed (a slot freed 200 ms before the deadline was taken, usual latency 300 ms).

--- a/src/node/service_gate.cpp
+++ b/src/node/service_gate.cpp
@@ -233,17 +233,19 @@
     const auto View = Snapshots.get()->service(this->Name);
     if (!View)
       Refused = Refusal::NoService;
+    else if (Queued && bootNow() >= Self.Limit)
+      Refused = Refusal::TooLate;
     else if (!(Entered = this->tryEnter(*View, Order, Why)) && !Why.Full)
       Refused = Refusal::NoTarget;
-    else if (!Entered && bootNow() >= Self.Limit)
-      Refused = Refusal::TooLate;
     else if (!Entered && !Queued)
       Refused = this->refusesWait(*View, Order.Deadline);
-    if (Queued && Why.Another)
+    if (Queued && (Why.Another || Refused == Refusal::TooLate))
       this->wakeNext(Self);
     if (Entered || Refused)
       break;
     if (!Queued) {
+      // A request that is sent later has no answer before its deadline.
+      Self.Limit = std::min(Self.Limit, Order.Deadline - View->Typical);
       this->Queue.push_back(&Self);
       Queued.reset(&Self);
     }
--- a/tests/unit/service_gate_test.cpp
+++ b/tests/unit/service_gate_test.cpp
@@ -14,11 +14,13 @@
 
 /// A service of targets with one slot each.
 struct Service {
-  explicit Service(const std::vector<std::string> &Targets) {
+  explicit Service(const std::vector<std::string> &Targets,
+                   Duration Typical = {}) {
     auto View = std::make_shared<ServiceView>();
     View->Record.Name = ServiceName("s");
     View->Record.SlotsPerTarget = Slots{1};
     View->Gate = this->Gate;
+    View->Typical = Typical;
     for (const std::string &Id : Targets) {
       TargetView Each;
       Each.Spec.Id = TargetId(Id);
@@ -98,5 +100,18 @@
   EXPECT_FALSE(isReady(First, Millis(0)));
 }
 
+TEST(ServiceGate, ASlotThatComesTooLateToBeOfUseIsNotTaken) {
+  Service Only({"a"}, Millis(300));
+  auto Holder = Only.enter(Millis(1000));
+  ASSERT_TRUE(Holder);
+  auto First = Only.queue(Millis(800));
+  std::this_thread::sleep_for(Millis(600));
+  Holder->release();
+  ASSERT_TRUE(isReady(First));
+  const Entered End = First.get();
+  ASSERT_FALSE(End);
+  EXPECT_EQ(End.error(), ServiceGate::Refusal::TooLate);
+}
+
 } // namespace
 } // namespace siskinstage
