--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -10,12 +10,6 @@
 
 namespace {
 
-/// Slots of a target that this node may use now.
-std::uint32_t usableSlots(const KnownTarget &Target) {
-  const double Usable = std::ceil(Target.Capacity * Target.Share);
-  return static_cast<std::uint32_t>(std::max(1.0, Usable));
-}
-
 /// Whether \p Request may find out if an idle target works. One with less time
 /// than a sound target may take would tell nothing.
 bool mayTry(const RequestTraits &Request, const UsualLatency &Usual) {
@@ -24,23 +18,24 @@
 
 } // namespace
 
+bool hasSlot(const KnownTarget &Target) {
+  const double Usable = std::ceil(Target.Capacity * Target.Share);
+  return Target.InFlight < std::max(1.0, Usable);
+}
+
 std::optional<Candidate> candidateOf(const KnownTarget &Target,
                                      const RequestTraits &Request,
                                      const UsualLatency &Usual, Instant Now,
-                                     Random &Dice, bool &Full) {
-  if (Target.InFlight >= usableSlots(Target)) {
-    Full = true;
+                                     Random &Dice) {
+  if (!hasSlot(Target))
     return std::nullopt;
-  }
   const bool LeavesDomain = Request.LargeBody && !Target.SameDomain;
   const double Gray =
       hangChance(Target.GrayChance, *Target.Started, Usual, Now);
   const bool Due = Target.InCharge && Target.InFlight == 0 && !LeavesDomain &&
                    mayTry(Request, Usual) && isTrialDue(Gray, Target.Idle);
-  if (!Due && Target.Share < 1.0 && Dice.unit() > Target.Share) {
-    Full = true;
+  if (!Due && Target.Share < 1.0 && Dice.unit() > Target.Share)
     return std::nullopt;
-  }
   const double Handicap = grayHandicap(Gray, Target.InFlight, Request.Kind) +
                           (LeavesDomain ? config::LargeBodyHandicap : 0);
   return Candidate{Target.Index,
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -36,13 +36,16 @@
   Duration TimeLeft = config::DefaultDeadline;
 };
 
+/// Whether this node may send \p Target one more request.
+bool hasSlot(const KnownTarget &Target);
+
 /// Weighs one target for a request.
-/// \param Full set if the target is left out for want of a slot.
-/// \returns nothing if the request may not go there now.
+/// \returns nothing if the request may not go there now: no slot is free, or
+/// the target's share of work spares it.
 std::optional<Candidate> candidateOf(const KnownTarget &Target,
                                      const RequestTraits &Request,
                                      const UsualLatency &Usual, Instant Now,
-                                     Random &Dice, bool &Full);
+                                     Random &Dice);
 
 } // namespace siskinstage
 
--- a/src/node/caller_reply.h
+++ b/src/node/caller_reply.h
@@ -5,6 +5,7 @@
 #include "net/http_io.h"
 #include "node/caller_request.h"
 #include "node/refusal.h"
+#include "siskinstage/config.h"
 
 namespace siskinstage {
 
@@ -14,7 +15,9 @@
   CallerReply(Wire &Caller, const CallerRequest &Request,
               const Dialect &Speak = OwnDialect);
   /// For a request that could not be read.
-  CallerReply(Wire &Caller, RequestId Id, const Dialect &Speak = OwnDialect);
+  /// \param WriteTime how long the caller may take to read a part.
+  CallerReply(Wire &Caller, RequestId Id, const Dialect &Speak,
+              Duration WriteTime);
 
   void refuse(const Refusal &Refused);
   void whole(const StoredAnswer &Answer);
@@ -26,6 +29,9 @@
   /// Ends the connection, so that the caller sees that the answer is cut.
   void breakOff();
 
+  /// From now on only what the system takes at once is written; a caller that
+  /// left no room for it loses its connection.
+  void hurry() { this->WriteTime = Duration::zero(); }
   /// The connection ends after this answer.
   void closeAfter() { this->Close = true; }
   [[nodiscard]] bool closes() const { return this->Close; }
@@ -41,6 +47,7 @@
   bool Close = false;
   bool Chunked = false;
   int Status = 0;
+  Duration WriteTime = config::CallerWriteTimeout;
 
   Poco::Net::HTTPResponse headOf(const StoredAnswer &Answer);
   [[nodiscard]] std::string secondsText(Duration Length) const;
--- a/src/node/connection_server.cpp
+++ b/src/node/connection_server.cpp
@@ -23,22 +23,34 @@
 /// A thread that ended is kept for reuse as long as a burst lasts.
 constexpr int ThreadIdleSeconds = 5;
 
+/// Whether accepting failed for want of descriptors or memory.
+bool isShortage(int Code) {
+  return Code == EMFILE || Code == ENFILE || Code == ENOBUFS || Code == ENOMEM;
+}
+
+/// Logs \p What if \p Count has grown since it was logged.
+void logGrowth(const char *What, std::uint64_t Count, std::uint64_t &Logged) {
+  if (Count != Logged)
+    logEvent(LogLevel::Warn, What, {{"times", std::to_string(Count - Logged)}});
+  Logged = Count;
+}
+
 } // namespace
 
 ConnectionServer::ConnectionServer(const Limits &Most, int PollSet,
-                                   std::atomic<std::uint32_t> &Open)
-    : Most(Most), PollSet(PollSet), Open(Open),
+                                   ConnectionCounts &Counts)
+    : Most(Most), PollSet(PollSet), Counts(Counts),
       Pool("connections", 1, Most.Threads, ThreadIdleSeconds,
            config::CallerThreadStackBytes),
       Worker(*this, &ConnectionServer::work) {}
 
 Result<std::unique_ptr<ConnectionServer>>
-ConnectionServer::start(const Limits &Most, std::atomic<std::uint32_t> &Open) {
+ConnectionServer::start(const Limits &Most, ConnectionCounts &Counts) {
   const int PollSet = ::epoll_create1(EPOLL_CLOEXEC);
   if (PollSet < 0)
     return fail(Step::Listen, "poll set", "the system gives no descriptor");
   std::unique_ptr<ConnectionServer> New(
-      new ConnectionServer(Most, PollSet, Open));
+      new ConnectionServer(Most, PollSet, Counts));
   const std::lock_guard<std::mutex> Guard(New->Lock);
   New->NextSweep = bootNow() + config::IdleSweepPeriod;
   New->ensureWaiter();
@@ -84,9 +96,11 @@
              {{"errno", std::to_string(errno)}});
 }
 
-void ConnectionServer::ensureWaiter() {
-  if (this->Waiting > 0 || this->Running >= this->Most.Threads)
-    return;
+bool ConnectionServer::ensureWaiter() {
+  if (this->Waiting > 0)
+    return true;
+  if (this->Running >= this->Most.Threads)
+    return false;
   try {
     this->Pool.start(this->Worker);
   } catch (const Poco::Exception &Fault) {
@@ -94,10 +108,11 @@
     logEvent(LogLevel::Error, "no further thread serves connections",
              {{"threads", std::to_string(this->Running)},
               {"reason", Fault.displayText()}});
-    return;
+    return false;
   }
   ++this->Running;
   ++this->Waiting;
+  return true;
 }
 
 bool ConnectionServer::waitAgain() {
@@ -115,21 +130,23 @@
   while (true) {
     epoll_event Event{};
     const int Got = ::epoll_wait(this->PollSet, &Event, 1, Pause);
+    bool Last = false;
     {
       const std::lock_guard<std::mutex> Guard(this->Lock);
       --this->Waiting;
-      if (Got > 0)
-        this->ensureWaiter();
+      Last = Got > 0 && !this->ensureWaiter();
     }
+    if (Last)
+      ++this->Counts.Crowded;
     if (Got > 0)
-      this->serveEvent(Event.data.u64);
+      this->serveEvent(Event.data.u64, Last);
     this->sweep();
     if (!this->waitAgain())
       return;
   }
 }
 
-void ConnectionServer::serveEvent(Id Which) {
+void ConnectionServer::serveEvent(Id Which, bool LastThread) {
   bool IsPort = false;
   {
     const std::lock_guard<std::mutex> Guard(this->Lock);
@@ -138,7 +155,7 @@
   if (IsPort)
     this->accept(Which);
   else
-    this->serveConnection(Which);
+    this->serveConnection(Which, LastThread);
 }
 
 void ConnectionServer::accept(Id Which) {
@@ -146,63 +163,110 @@
   const auto Found = this->Ports.find(Which);
   if (Found == this->Ports.end())
     return;
-  this->acceptOne(Found->second);
-  this->watch(Found->second.Socket.impl()->sockfd(), Which, EPOLL_CTL_MOD);
+  Port &From = Found->second;
+  // Without a descriptor the connection stays where it is, and a watched port
+  // would have its next event at once.
+  From.Resting = this->acceptOne(From) == Accepted::NoDescriptor;
+  if (!From.Resting)
+    this->watch(From.Socket.impl()->sockfd(), Which, EPOLL_CTL_MOD);
+}
+
+void ConnectionServer::wakePorts() {
+  for (auto &[Which, Each] : this->Ports)
+    if (std::exchange(Each.Resting, false))
+      this->watch(Each.Socket.impl()->sockfd(), Which, EPOLL_CTL_MOD);
 }
 
-bool ConnectionServer::acceptOne(Port &From) {
+ConnectionServer::Accepted ConnectionServer::acceptOne(Port &From) {
   Poco::Net::StreamSocket Socket;
   try {
     Socket = From.Socket.acceptConnection();
-  } catch (const Poco::Exception &) {
-    return false; // It was gone again, or another thread has it.
+  } catch (const Poco::Exception &Fault) {
+    if (!isShortage(Fault.code()))
+      return Accepted::None; // It was gone again, or another thread has it.
+    ++this->Counts.Unaccepted;
+    return Accepted::NoDescriptor;
+  }
+  if (this->Connections.size() >= this->Most.Connections) {
+    ++this->Counts.BeyondLimit;
+    return Accepted::One; // Closed unread: the peer knows that nothing was run.
   }
-  if (this->Connections.size() >= this->Most.Connections)
-    return true; // Closed unread, which tells the peer that nothing was run.
   const Id New = this->NextId++;
   const auto Peer = std::make_shared<Wire>(Socket);
-  this->Connections[New] = {Peer, From.How, bootNow(), false};
+  this->Connections[New] = {Peer, From.How, bootNow(), State::Idle};
   this->count();
   this->watch(Peer->descriptor(), New, EPOLL_CTL_ADD);
-  return true;
+  return Accepted::One;
 }
 
-void ConnectionServer::serveConnection(Id Which) {
-  std::shared_ptr<Wire> Peer;
-  std::shared_ptr<ConnectionHandler> How;
+std::optional<ConnectionServer::State>
+ConnectionServer::serveHeld(Held &Each, bool LastThread) {
+  using Next = ConnectionHandler::Next;
+  Wire &Peer = *Each.Peer;
+  if (Each.Now != State::Ending) {
+    if (Each.Now == State::Idle)
+      Each.Since = bootNow();
+    Next Then = Each.How->serve(Peer, LastThread);
+    while (Then == Next::Idle && !Peer.buffered().empty()) {
+      Each.Since = bootNow();
+      Then = Each.How->serve(Peer, LastThread);
+    }
+    if (Then == Next::Rest)
+      return State::Begun;
+    Each.Since = bootNow();
+    if (Then == Next::Idle)
+      return State::Idle;
+    if (!Peer.endSending())
+      return std::nullopt;
+  }
+  // Closing with bytes unread would reset the connection, and the answer could
+  // be lost with it.
+  if (!Peer.skipInput(Each.Since + config::LingerTime))
+    return std::nullopt;
+  return State::Ending;
+}
+
+void ConnectionServer::serveConnection(Id Which, bool LastThread) {
+  Held Taken;
   {
     const std::lock_guard<std::mutex> Guard(this->Lock);
     const auto Found = this->Connections.find(Which);
     if (Found == this->Connections.end())
       return;
-    Found->second.Busy = true;
-    Peer = Found->second.Peer;
-    How = Found->second.How;
+    Taken = Found->second;
+    Found->second.Now = State::Busy;
   }
-  bool Open = true;
+  std::optional<State> Then;
   try {
-    do
-      Open = How->serve(*Peer);
-    while (Open && !Peer->buffered().empty());
-    if (!Open)
-      Peer->finish(bootNow() + config::LingerTime);
+    Then = serveHeld(Taken, LastThread);
   } catch (const std::exception &Fault) {
     logEvent(LogLevel::Error, "a connection ended on an exception",
-             {{"peer", Peer->peer()}, {"reason", Fault.what()}});
-    Peer->abort();
-    Open = false;
+             {{"peer", Taken.Peer->peer()}, {"reason", Fault.what()}});
+    Taken.Peer->abort();
   }
   const std::lock_guard<std::mutex> Guard(this->Lock);
-  if (!Open) {
+  if (!Then) {
     this->Connections.erase(Which);
     this->count();
+    // The last reference closes the descriptor.
+    Taken.Peer.reset();
+    this->wakePorts();
     return;
   }
-  Peer->shrink();
-  Held &Kept = this->Connections[Which];
-  Kept.Busy = false;
-  Kept.IdleSince = bootNow();
-  this->watch(Peer->descriptor(), Which, EPOLL_CTL_MOD);
+  Taken.Peer->shrink();
+  Taken.Now = *Then;
+  const int Descriptor = Taken.Peer->descriptor();
+  this->Connections[Which] = std::move(Taken);
+  this->watch(Descriptor, Which, EPOLL_CTL_MOD);
+}
+
+void ConnectionServer::logCounts() {
+  logGrowth("all threads are taken, requests are refused",
+            this->Counts.Crowded.load(), this->CrowdedLogged);
+  logGrowth("connections beyond the limit are closed",
+            this->Counts.BeyondLimit.load(), this->BeyondLimitLogged);
+  logGrowth("no descriptor is left for a connection",
+            this->Counts.Unaccepted.load(), this->UnacceptedLogged);
 }
 
 void ConnectionServer::sweep() {
@@ -216,22 +280,36 @@
 
 void ConnectionServer::closeIdle() {
   const Instant Now = bootNow();
-  const std::lock_guard<std::mutex> Guard(this->Lock);
-  this->NextSweep = Now + config::IdleSweepPeriod;
-  std::erase_if(this->Connections, [&](const auto &Entry) {
-    return this->isPastLimit(Entry.second, Now);
-  });
-  this->count();
+  std::vector<Held> Late;
+  {
+    const std::lock_guard<std::mutex> Guard(this->Lock);
+    this->NextSweep = Now + config::IdleSweepPeriod;
+    this->logCounts();
+    std::erase_if(this->Connections, [&](const auto &Entry) {
+      const bool Past = this->isPastLimit(Entry.second, Now);
+      if (Past && Entry.second.Now == State::Begun)
+        Late.push_back(Entry.second);
+      return Past;
+    });
+    this->count();
+    this->wakePorts();
+  }
+  for (const Held &Each : Late)
+    Each.How->endLate(*Each.Peer);
 }
 
 bool ConnectionServer::isPastLimit(const Held &Each, Instant Now) const {
-  const Duration Limit = Each.How->idleLimit(this->Draining);
-  if (Each.Busy)
+  if (Each.Now == State::Busy)
     return false;
+  if (Each.Now == State::Begun)
+    return Now - Each.Since >= Each.How->headLimit();
+  if (Each.Now == State::Ending)
+    return Now - Each.Since >= config::LingerTime;
+  const Duration Limit = Each.How->idleLimit(this->Draining);
   if (!this->Draining)
-    return Now - Each.IdleSince >= Limit;
+    return Now - Each.Since >= Limit;
   return Now - this->DrainStart >= Limit &&
-         Now - Each.IdleSince >= config::DrainQuietTime;
+         Now - Each.Since >= config::DrainQuietTime;
 }
 
 void ConnectionServer::drain() {
@@ -243,7 +321,7 @@
 void ConnectionServer::stopAccepting() {
   const std::lock_guard<std::mutex> Guard(this->Lock);
   for (auto &[Which, Each] : this->Ports) {
-    while (this->acceptOne(Each))
+    while (this->acceptOne(Each) == Accepted::One)
       continue;
     Each.Socket.close();
   }
@@ -251,7 +329,7 @@
 }
 
 void ConnectionServer::count() {
-  this->Open.store(static_cast<std::uint32_t>(this->Connections.size()));
+  this->Counts.Open.store(static_cast<std::uint32_t>(this->Connections.size()));
 }
 
 } // namespace siskinstage
--- a/src/node/metrics.h
+++ b/src/node/metrics.h
@@ -32,6 +32,9 @@
   void ejected(const std::string &Service);
   void latency(Duration Whole);
   void setCallers(double Count);
+  void setCrowded(double Times);
+  void setTurnedAway(double Count);
+  void setUnaccepted(double Times);
   void setReady(bool Ready);
   void setObservationsLost(double Count);
   void setRevision(double Highest);
@@ -57,6 +60,9 @@
   prometheus::Family<prometheus::Counter> &Ejections;
   prometheus::Histogram &Latency;
   prometheus::Gauge &Callers;
+  prometheus::Gauge &Crowded;
+  prometheus::Gauge &TurnedAway;
+  prometheus::Gauge &Unaccepted;
   prometheus::Gauge &Ready;
   prometheus::Gauge &ObservationsLost;
   prometheus::Gauge &HighestRevision;
--- a/src/node/operator_pages.cpp
+++ b/src/node/operator_pages.cpp
@@ -27,7 +27,13 @@
 
 Page metricsPage(NodeContext &Context) {
   Metrics &Measured = Context.Measured;
-  Measured.setCallers(Context.CallerConnections.load());
+  Measured.setCallers(Context.CallerConnections.Open.load());
+  Measured.setCrowded(
+      static_cast<double>(Context.CallerConnections.Crowded.load()));
+  Measured.setTurnedAway(
+      static_cast<double>(Context.CallerConnections.BeyondLimit.load()));
+  Measured.setUnaccepted(
+      static_cast<double>(Context.CallerConnections.Unaccepted.load()));
   Measured.setReady(Context.ready());
   Measured.setObservationsLost(
       static_cast<double>(Context.Observations.lost()));
--- a/src/node/request_flow.cpp
+++ b/src/node/request_flow.cpp
@@ -38,9 +38,12 @@
 } // namespace
 
 RequestFlow::RequestFlow(NodeContext &Context, Wire &Caller,
-                         const CallerRequest &Request)
+                         const CallerRequest &Request, bool LastThread)
     : Context(Context), Caller(Caller), Request(Request),
-      Body(Caller, Request.Framing, Request.ExpectContinue),
+      LastThread(LastThread),
+      Body(Caller, Request.Framing, Request.ExpectContinue,
+           Request.Arrived +
+               Request.TimeLeft.value_or(config::DefaultDeadline)),
       Reply(Caller, Request, Context.Set.Speak), Now(Context.Snapshots.get()) {
   if (Context.Draining.load())
     this->Reply.closeAfter();
@@ -113,6 +116,14 @@
   }
   this->RouteRepeatable = Route->Repeatable;
   this->Limits = {Route->MaxAttempts, Route->Timeout, Route->Objective};
+  const Millis Limit =
+      std::min(this->Request.TimeLeft.value_or(this->Service->Record.Deadline),
+               config::MaxDeadline);
+  this->Deadline = this->Request.Arrived + Limit;
+  if (this->Limits.Timeout > Millis::zero())
+    this->Deadline =
+        std::min(this->Deadline, this->Request.Arrived + this->Limits.Timeout);
+  this->Body.endBy(this->Deadline);
   return true;
 }
 
@@ -121,8 +132,14 @@
     this->serveInternal(peerAnswer(this->Context, this->Request));
     return;
   }
+  const bool Keyed = this->Request.Key.has_value();
+  if (this->LastThread) {
+    this->Reply.hurry();
+    this->refuse(503, Keyed ? Outcome::Unknown : Outcome::NotRun, Step::Queue,
+                 this->Context.Set.Id.str(), "all threads are taken");
+    return;
+  }
   if (!this->Now->Configured) {
-    const bool Keyed = this->Request.Key.has_value();
     this->refuse(503, Keyed ? Outcome::Unknown : Outcome::NotRun, Step::Route,
                  this->Context.Set.Id.str(), "the node is not ready yet");
     return;
@@ -350,13 +367,6 @@
 }
 
 DispatchEnd RequestFlow::dispatch(const std::string &OwnedKey) {
-  const Millis Limit =
-      std::min(this->Request.TimeLeft.value_or(this->Service->Record.Deadline),
-               config::MaxDeadline);
-  this->Deadline = this->Request.Arrived + Limit;
-  if (this->Limits.Timeout > Millis::zero())
-    this->Deadline =
-        std::min(this->Deadline, this->Request.Arrived + this->Limits.Timeout);
   DispatchOrder Order;
   Order.Limits = this->Limits;
   Order.Request = &this->Request;
--- a/tests/unit/gray_replay.h
+++ b/tests/unit/gray_replay.h
@@ -249,7 +249,6 @@
     const auto Kind =
         Repeatable ? Repeatability::Repeatable : Repeatability::AtMostOnce;
     std::vector<Candidate> Candidates;
-    bool Full = false;
     for (std::uint32_t I = 0; I < this->Targets.size(); ++I) {
       const View &Seen = this->Views[Entry][I];
       KnownTarget Known;
@@ -261,8 +260,8 @@
       Known.Started = &Seen.Started;
       Known.InCharge = this->inCharge(Entry, I);
       Known.Idle = this->Now - Seen.LastPlaced;
-      if (const auto Fit = candidateOf(Known, {Kind}, this->Usual, this->Now,
-                                       this->Dice, Full))
+      if (const auto Fit =
+              candidateOf(Known, {Kind}, this->Usual, this->Now, this->Dice))
         Candidates.push_back(*Fit);
     }
     this->Found.Requests.push_back({this->Now});
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -99,9 +99,8 @@
   Known.InCharge = true;
   Known.Idle = Millis(2'000);
   Random Dice(Seed);
-  bool Full = false;
   return candidateOf(Known, Request, {Millis(200), Millis(500)}, Instant(),
-                     Dice, Full);
+                     Dice);
 }
 
 TEST(CandidateOf, TriesAnIdleTargetWithAFirstTryThatHasTime) {
