Log and show the rate limit that a target states

What callers saw: nothing; a target that states a limit gets more than that. Cause that needed this: no log or figure told whether a node knew of a limit, so the three hypotheses of the incident could not be told apart. Change: the response header is read (Siskinstage-Rate-Limit, or the platform's name for it), checked, logged once a change with the number of requests sent there so far, and shown in /state. It does not change where requests go. Ruled out meanwhile: a response with status 421 is that of another target at the address, so its header is not used.

--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -107,6 +107,11 @@
 /// of a request, after which half of the reported requests have ended.
 inline constexpr std::chrono::milliseconds ReportedLoadMaxAge = 300ms;
 
+// Rate limits that targets state in their responses.
+/// A lower limit is raised to this: with one request in ten seconds, the end of
+/// the limit is still noticed.
+inline constexpr double MinTargetRate = 0.1;
+
 // Idempotency keys.
 inline constexpr std::chrono::seconds KeyEpochLength = 300s;
 /// Number of epochs after its own in which a key remains valid.
--- a/src/node/dialect.h
+++ b/src/node/dialect.h
@@ -26,6 +26,8 @@
   std::string InFlight = header::InFlight; ///< Requests running at a target.
   /// Load of a target: its running requests, waiting requests and slots.
   std::string Load;
+  /// Requests per second that a target accepts from all nodes together.
+  std::string RateLimit = header::RateLimit;
   /// Header that names the only target which may run the request.
   std::string ExpectTarget;
   /// Header that every response to a request that was run must have.
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -229,6 +229,23 @@
             {"gray_percent_now", std::to_string(percentOf(Change.After))}});
 }
 
+void Dispatcher::logRateLimit(const TargetView &Target,
+                              const TargetExchange &Exchange) const {
+  if (!Exchange.rateLimit())
+    return;
+  const double Limit = Exchange.rateLimit()->value_or(0);
+  if (Target.Gauge->StatedRateLimit.exchange(Limit) == Limit)
+    return;
+  logEvent(
+      LogLevel::Info,
+      "target " + Target.Spec.Id.str() + " of service " +
+          this->Params.Service->Record.Name.str() +
+          (Limit > 0 ? " limits its rate" : " no longer limits its rate"),
+      {{"request", this->Params.Request->Id.str()},
+       {"limit_per_s", std::to_string(Limit)},
+       {"requests_so_far", std::to_string(Target.Gauge->Requests.load())}});
+}
+
 void Dispatcher::logSuspectPlacement(const TargetLease &Lease) const {
   const Placement &Placed = Lease.placed();
   if (Placed.GrayProbability < config::GrayThreshold)
@@ -254,6 +271,7 @@
         bootNow());
   else if (Exchange.reportedInFlight())
     Target.Gauge->setReportedLoad(*Exchange.reportedInFlight(), bootNow());
+  this->logRateLimit(Target, Exchange);
   if (Exchange.isLeaving()) {
     Target.Gauge->AnnouncedLeaving.store(true);
     this->observe(Target, Evidence::Leaving, Elapsed);
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -99,6 +99,9 @@
   /// Records the evidence of a response.
   void recordResponse(const TargetView &Target, TargetExchange &Exchange,
                       Duration Elapsed);
+  /// Logs a change of the rate limit that the target states.
+  void logRateLimit(const TargetView &Target,
+                    const TargetExchange &Exchange) const;
   /// Logs that a target became suspected of a gray failure, or ceased to be.
   void logSuspicionChange(const TargetView &Target, Evidence Kind,
                           const ServiceGate::EstimateChange &Change) const;
--- a/src/node/header_names.h
+++ b/src/node/header_names.h
@@ -13,6 +13,8 @@
 inline constexpr const char *Hops = "Siskinstage-Hops";
 inline constexpr const char *Leaving = "Siskinstage-Leaving";
 inline constexpr const char *InFlight = "Siskinstage-In-Flight";
+/// Requests per second that a target accepts from all nodes together.
+inline constexpr const char *RateLimit = "Siskinstage-Rate-Limit";
 inline constexpr const char *PeerTime = "Siskinstage-Peer-Time";
 inline constexpr const char *PeerMac = "Siskinstage-Peer-Mac";
 inline constexpr const char *IdempotencyKey = "Idempotency-Key";
--- a/src/node/state_dump.cpp
+++ b/src/node/state_dump.cpp
@@ -29,6 +29,7 @@
   Dump["ejections"] = Target.Verdict.Ejections;
   Dump["in_flight"] = Target.Gauge->InFlight.load();
   Dump["reported_in_flight"] = Target.Gauge->reportedLoad(bootNow());
+  Dump["rate_limit"] = Target.Gauge->StatedRateLimit.load();
   Dump["requests"] = static_cast<Json::UInt64>(Target.Gauge->Requests.load());
   Dump["connections_opened"] = static_cast<Json::UInt64>(Pool.Opened);
   Dump["connections_reused"] = static_cast<Json::UInt64>(Pool.Reused);
--- a/src/node/target_exchange.cpp
+++ b/src/node/target_exchange.cpp
@@ -1,4 +1,5 @@
 #include "node/target_exchange.h"
+#include "core/rate_limit_header.h"
 #include "net/boot_time.h"
 #include "siskinstage/config.h"
 
@@ -278,13 +279,18 @@
   if (!Headers.Leaving.empty())
     this->Leaving = this->Head.get(Headers.Leaving, "") == "yes";
   this->readLoad();
+  // With status 421, the response is that of another target at the address.
+  if (!Headers.RateLimit.empty() && this->Head.getStatus() != 421)
+    this->RateLimit =
+        parseRateLimit(headerValues(this->Head, Headers.RateLimit));
   this->Reusable = !wantsClose(this->Head) && !this->Leaving;
   const std::string Length = this->Head.get("Content-Length", "");
   dropHopHeaders(this->Head);
   this->Head.erase("Content-Length");
   for (const std::string *Name :
        {&Headers.Outcome, &Headers.RequestId, &Headers.Leaving,
-        &Headers.InFlight, &Headers.Load, &Headers.NotRunHeader})
+        &Headers.InFlight, &Headers.Load, &Headers.NotRunHeader,
+        &Headers.RateLimit})
     if (!Name->empty())
       this->Head.erase(*Name);
   // A response to HEAD has no body; its length is that of a response to GET.
--- a/src/node/target_exchange.h
+++ b/src/node/target_exchange.h
@@ -76,6 +76,11 @@
   [[nodiscard]] std::optional<std::uint32_t> reportedInFlight() const {
     return this->InFlight;
   }
+  /// The rate limit that the target stated, or an error if it is invalid.
+  [[nodiscard]] const tl::expected<std::optional<double>, std::string> &
+  rateLimit() const {
+    return this->RateLimit;
+  }
   [[nodiscard]] bool reused() const { return this->Pooled.Reused; }
   /// Whether a part of the caller's body was not read.
   [[nodiscard]] bool isRequestBodyUnread() const {
@@ -105,6 +110,7 @@
   bool CheckRequestId = true;
   std::string OutcomeText; ///< Value of the outcome header, if any.
   std::optional<std::uint32_t> InFlight;
+  tl::expected<std::optional<double>, std::string> RateLimit;
 
   ExchangeResult<void> send();
   ExchangeResult<void> sendRest(bool Chunked);
--- a/src/node/target_gauge.h
+++ b/src/node/target_gauge.h
@@ -19,6 +19,8 @@
   /// Set as soon as a response or probe announces that the target leaves,
   /// before the decision thread has updated its verdict.
   std::atomic<bool> AnnouncedLeaving{false};
+  /// Requests per second that the target stated last; zero without a limit.
+  std::atomic<double> StatedRateLimit{0};
   ConnectionPool Pool;
   /// Start times of the requests in flight; guarded by the lock of the
   /// ServiceGate.
--- a/tests/integration/test_platform_path.py
+++ b/tests/integration/test_platform_path.py
@@ -278,6 +278,7 @@
     def test_only_the_adapter_knows_the_platforms_names(self):
         root = pathlib.Path(__file__).resolve().parent.parent.parent
         names = ("Attempt-Id", "Not-Executed", "Server-Seal", "Server-Load",
+                 "Server-Limit", "Server-Leaving",
                  "Expect-Instance", "Deadline-Remaining", "kv-watch",
                  "kv-range", "op/config", "warmup-left", "SISKINSTAGE_NODE_FILE",
                  "/api/resolve", "/api/ready")
