Failing test: a target gets more than its rate limit

What callers saw: nothing; the target gets 65 requests in 4 s from nodes that it had told a limit of 1 a second, where 11 are allowed (eight nodes, three targets, 60 requests/s, no disruption). Evidence on the hypotheses: at the time of the log line "limits its rate" each node had sent one request; after it all went on as before. The rate is that of a target without a limit, so 1 (no node reads the header) holds; 2 and 3 are not excluded for a fix, and the test sends to all nodes for that reason.

--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -159,9 +159,11 @@
         # normal, hang, shed, unsealed, error, reset, encoded, cut or busy
         self.behaviour = "normal"
         self.sends_second_response = False
+        self.notices = {}  # headers of all responses, by name
         self.runs = []  # (attempt id, method, path, body) of each run
         self.headers = []
         self.arrivals = 0
+        self.arrival_times = []  # (time.monotonic(), attempt id)
         self.connections = 0
         server = self
 
@@ -202,6 +204,7 @@
         self.arrivals += 1
         self.headers.append(dict(call.headers))
         attempt = call.headers.get("Attempt-Id", "")
+        self.arrival_times.append((time.monotonic(), attempt))
         if call.headers.get("Expect-Instance", self.id) != self.id:
             self.reply(call, 421, attempt, {"Instance-Id": "i-other"})
             return
@@ -245,7 +248,7 @@
         body = f"from {self.id}".encode()
         call.send_response(status)
         call.send_header("Attempt-Id", attempt)
-        for name, value in headers.items():
+        for name, value in {**self.notices, **headers}.items():
             call.send_header(name, value)
         call.send_header("Content-Length", str(content_length or len(body)))
         call.end_headers()
