Keep the rate limit of a target over all nodes together

Cause: a statement of a target about the whole fleet had no place. Responses were read for load and leaving only, placement knew slots and a share of the usual load, and gossip carried evidence of failures but no demand of the target's. Class: a bound on the sum over nodes that no node is responsible for. Ruled out: a limit by each node alone (at 1/s, four entries send 16 in 4 s, 44 nodes more); equal shares (each of 24 nodes may send its first request at once). Change: RateLimit holds the limit with a version and a token bucket, rateShare puts the nodes of the target's failure domain in charge of it by rendezvous hashing, one for every 2 requests/s, and gives the others nothing. What a node hears it tells the serving nodes at once and one node repeats it every second. ServiceGate asks before each placement: first attempts, retries, trials, waiting requests; probes take from it too. What does not fit goes to the other targets; if all are limited and there is no room in time, it is refused at once with a Retry-After. The limit ends with two responses without it, or after 15 s of silence, and the load returns over 5 s. Why it holds: the sum of the shares is the limit, the buckets together hold at most L/2 + 1 a node in charge, and a node that takes over starts with an empty one.

--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -111,6 +111,27 @@
 /// A lower limit is raised to this: with one request in ten seconds, the end of
 /// the limit is still noticed.
 inline constexpr double MinTargetRate = 0.1;
+/// A higher limit has no effect: it is more than any target can serve.
+inline constexpr double MaxTargetRate = 1e6;
+/// Requests per second of a limit for each node in charge of it: a node that
+/// callers use has at least this many requests for a service.
+inline constexpr double RatePerNodeInCharge = 2;
+/// Unused requests that a node may send at once, beyond the first, in seconds
+/// of its share.
+inline constexpr double RateBurstSeconds = 0.5;
+/// Period in which one node repeats a limit to the others.
+inline constexpr std::chrono::milliseconds RateLimitRepeatPeriod = 1s;
+/// A limit ends with this many successive responses without it: a single one
+/// may come from an error path of the target that does not state it.
+inline constexpr int RateLimitEndResponses = 2;
+/// A limit that was not heard of for this long has ended: several periods in
+/// which it is repeated, since nodes that do not serve the service get no
+/// repetitions, and each of them tries the target once after this time.
+inline constexpr std::chrono::milliseconds MinRateLimitRetention = 15s;
+/// The same in responses, at the rate of the limit.
+inline constexpr double RateLimitRetentionResponses = 3;
+/// Longest Retry-After of a request that was rejected for rate limits.
+inline constexpr std::chrono::milliseconds MaxRateRetryAfter = 5s;
 
 // Idempotency keys.
 inline constexpr std::chrono::seconds KeyEpochLength = 300s;
--- a/src/core/gossip_codec.cpp
+++ b/src/core/gossip_codec.cpp
@@ -1,6 +1,7 @@
 #include "core/gossip_codec.h"
 #include "core/address.h"
 #include "core/record_parser.h"
+#include "siskinstage/config.h"
 
 #include <array>
 #include <optional>
@@ -68,6 +69,14 @@
     this->Output["t"] = Body.Target.str();
     this->Output["p"] = Body.Percent;
   }
+  void operator()(const RateLimitUpdate &Body) const {
+    this->Output["k"] = "limit";
+    this->Output["v"] = Body.Service.str();
+    this->Output["t"] = Body.Target.str();
+    this->Output["i"] = toJson(Body.Process.Value);
+    this->Output["n"] = toJson(Body.State.Version);
+    this->Output["l"] = Body.State.PerSecond;
+  }
   void operator()(const CrashReport &Body) const {
     this->Output["k"] = "crash";
     this->Output["s"] = toJson(Body.Fingerprint.Value);
@@ -122,6 +131,25 @@
                             Value["p"].asUInt()};
 }
 
+Result<GossipBody> readRateLimitUpdate(const Json::Value &Value) {
+  if (!isText(Value["v"]))
+    return malformed("v");
+  if (!isText(Value["t"]))
+    return malformed("t");
+  if (!Value["i"].isUInt64())
+    return malformed("i");
+  if (!Value["n"].isUInt64())
+    return malformed("n");
+  const double Rate = Value["l"].isNumeric() ? Value["l"].asDouble() : -1;
+  if (Rate != 0 &&
+      !(Rate >= config::MinTargetRate && Rate <= config::MaxTargetRate))
+    return malformed("l");
+  return RateLimitUpdate{ServiceName(Value["v"].asString()),
+                         TargetId(Value["t"].asString()),
+                         {Value["i"].asUInt64()},
+                         {Value["n"].asUInt64(), Rate}};
+}
+
 Result<GossipBody> readBody(const Json::Value &Value) {
   if (!isText(Value["k"]))
     return malformed("k");
@@ -132,6 +160,8 @@
     return readTargetReport(Value);
   if (Kind == "gray")
     return readGrayEstimateUpdate(Value);
+  if (Kind == "limit")
+    return readRateLimitUpdate(Value);
   if (!Value["s"].isUInt64())
     return malformed("s");
   const std::uint64_t Sequence = Value["s"].asUInt64();
--- a/src/core/gossip_message.h
+++ b/src/core/gossip_message.h
@@ -3,6 +3,7 @@
 
 #include "core/member.h"
 #include "core/quarantine.h"
+#include "core/rate_limit.h"
 #include "core/report_kind.h"
 #include "siskinstage/record.h"
 #include "siskinstage/units.h"
@@ -54,14 +55,23 @@
   std::uint32_t Percent = 0; ///< 1 to 99.
 };
 
+/// The rate limit of a target, told by a node that has heard it.
+struct RateLimitUpdate {
+  ServiceName Service;
+  TargetId Target;
+  Incarnation Process; ///< Of the target.
+  RateLimitState State;
+};
+
 /// Reports that a target crashed during a request.
 struct CrashReport {
   RequestFingerprint Fingerprint;
   TargetId Target;
 };
 
-using GossipBody = std::variant<Ping, PingRequest, Ack, RecordUpdate,
-                                TargetReport, GrayEstimateUpdate, CrashReport>;
+using GossipBody =
+    std::variant<Ping, PingRequest, Ack, RecordUpdate, TargetReport,
+                 GrayEstimateUpdate, CrashReport, RateLimitUpdate>;
 
 /// One datagram between nodes.
 struct GossipMessage {
--- a/src/core/rate_limit_header.cpp
+++ b/src/core/rate_limit_header.cpp
@@ -18,7 +18,7 @@
       !Poco::NumberParser::tryParseFloat(Text, Rate) || !std::isfinite(Rate) ||
       Rate <= 0)
     return std::nullopt;
-  return std::max(Rate, config::MinTargetRate);
+  return std::clamp(Rate, config::MinTargetRate, config::MaxTargetRate);
 }
 
 } // namespace
--- a/src/core/rate_limit_header.h
+++ b/src/core/rate_limit_header.h
@@ -9,9 +9,10 @@
 namespace siskinstage {
 
 /// Reads the rate limit that a target states in a response: a decimal number of
-/// requests per second. It is raised to config::MinTargetRate if it is lower.
-/// \param Values all values of the header; of several, the lowest one counts.
-/// \returns nothing if \p Values is empty, or an error if none is a positive
+/// requests per second, from config::MinTargetRate to config::MaxTargetRate
+/// after rounding to that range. \param Values all values of the header; of
+/// several, the lowest one counts. \returns nothing if \p Values is empty, or
+/// an error if none is a positive
 ///          finite number.
 tl::expected<std::optional<double>, std::string>
 parseRateLimit(const std::vector<std::string> &Values);
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -284,7 +284,7 @@
   this->NextSnapshot.EntryNodes = std::move(Entries);
   for (auto &[Name, Service] : this->Services) {
     auto Serving = this->servingNodes(Name);
-    if (Service.PeerNodes && sameNodes(Serving, Service.ServingNodes))
+    if (Service.Group && sameNodes(Serving, Service.Group->Nodes))
       continue;
     this->setServingNodes(Service, std::move(Serving));
     if (!Service.Verdicts.empty())
@@ -373,7 +373,8 @@
       std::make_shared<const std::vector<Address>>(std::move(Peers));
   Service.SendsTrialRequests =
       trialAssignments(Serving, Self, Service.Record.Targets);
-  Service.ServingNodes = std::move(Serving);
+  Service.Group = std::make_shared<const ServingGroup>(
+      ServingGroup{std::move(Serving), Self});
 }
 
 const ServiceRecord *
@@ -471,6 +472,7 @@
   View->Record = *this->findServiceRecord(Name);
   View->Gate = Service.Gate;
   View->PeerNodes = Service.PeerNodes;
+  View->Group = Service.Group;
   View->MedianLatency = Service.PublishedLatency.Median;
   View->HighLatency = Service.PublishedLatency.High;
   for (std::size_t I = 0; I < Service.Verdicts.size(); ++I) {
--- a/src/node/decision_loop.h
+++ b/src/node/decision_loop.h
@@ -33,7 +33,7 @@
     /// Includes the targets that have records of their own.
     ServiceRecord Record;
     /// Nodes that serve the service, including this one if it does.
-    std::vector<SteeringNode> ServingNodes;
+    std::shared_ptr<const ServingGroup> Group;
     /// Fleet addresses of the other serving nodes.
     std::shared_ptr<const std::vector<Address>> PeerNodes;
     /// By index in Record.Targets: whether this node sends trial requests to
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "net/boot_time.h"
 #include "node/header_names.h"
 #include "node/node_context.h"
+#include "node/rate_limit_log.h"
 #include "node/service_gate.h"
 #include "node/target_gauge.h"
 #include "siskinstage/config.h"
@@ -46,6 +47,9 @@
     return {Step::Queue, Service, "too many requests wait for a slot"};
   case ServiceGate::Refusal::TooLate:
     return {Step::Queue, Service, "no slot comes free before the deadline"};
+  case ServiceGate::Refusal::RateLimited:
+    return {Step::Queue, Service,
+            "the rate limits of the targets leave no room"};
   case ServiceGate::Refusal::NoService:
     return {Step::Route, Service, "the service is not configured"};
   }
@@ -70,13 +74,14 @@
 }
 
 DispatchResult Dispatcher::refuse(int Status, Step FailedStep, std::string Peer,
-                                  std::string Reason) {
+                                  std::string Reason,
+                                  std::optional<Duration> RoomAfter) {
   const Outcome Result = this->MayHaveRun ? Outcome::Unknown : Outcome::NotRun;
   std::optional<Duration> RetryAfter;
   if (this->Context.NodeSettings.HeaderDialect.StatusImpliesNotRun)
     Status = statusForOutcome(Status, Result);
   if (Status == 503 && Result == Outcome::NotRun)
-    RetryAfter = randomRetryAfter();
+    RetryAfter = randomRetryAfter() + RoomAfter.value_or(Duration::zero());
   return Refusal{Status,
                  Result,
                  {FailedStep, std::move(Peer), std::move(Reason)},
@@ -97,10 +102,11 @@
     return std::move(*Lease);
   if (this->FallbackResponse)
     return tl::unexpected<DispatchResult>(std::move(*this->FallbackResponse));
+  const ServiceGate::Rejection &Rejected = Lease.error();
   const Error Cause =
-      refusalCause(Lease.error(), this->Params.Service->Record.Name.str());
-  return tl::unexpected<DispatchResult>(
-      this->refuse(503, Cause.FailedStep, Cause.Peer, Cause.Reason));
+      refusalCause(Rejected.Reason, this->Params.Service->Record.Name.str());
+  return tl::unexpected<DispatchResult>(this->refuse(
+      503, Cause.FailedStep, Cause.Peer, Cause.Reason, Rejected.RetryAfter));
 }
 
 Duration Dispatcher::overdueAfter() const {
@@ -229,21 +235,23 @@
             {"gray_percent_now", std::to_string(percentOf(Change.After))}});
 }
 
-void Dispatcher::logRateLimit(const TargetView &Target,
-                              const TargetExchange &Exchange) const {
-  if (!Exchange.rateLimit())
-    return;
-  const double Limit = Exchange.rateLimit()->value_or(0);
-  if (Target.Gauge->StatedRateLimit.exchange(Limit) == Limit)
+void Dispatcher::recordRateLimit(const TargetView &Target,
+                                 const TargetExchange &Exchange, Instant Sent) {
+  const ServiceView &Service = *this->Params.Service;
+  const auto &Stated = Exchange.rateLimit();
+  // A response without a run may come from a part of the target that does not
+  // know the limit.
+  if (!Stated || (!*Stated && Exchange.isNotRun()))
     return;
-  logEvent(
-      LogLevel::Info,
-      "target " + Target.Spec.Id.str() + " of service " +
-          this->Params.Service->Record.Name.str() +
-          (Limit > 0 ? " limits its rate" : " no longer limits its rate"),
-      {{"request", this->Params.Request->Id.str()},
-       {"limit_per_s", std::to_string(Limit)},
-       {"requests_so_far", std::to_string(Target.Gauge->Requests.load())}});
+  const auto Change =
+      Service.Gate->hearRateLimit(Service, Target, *Stated, Sent);
+  if (Change.Changed)
+    logRateLimit(Service, Target, "request " + this->Params.Request->Id.str());
+  if (Change.Tell && Service.PeerNodes)
+    this->Context.postCommand(
+        SendRateLimit{{Service.Record.Name, Target.Spec.Id, Target.Spec.Process,
+                       *Change.Tell},
+                      Service.PeerNodes});
 }
 
 void Dispatcher::logSuspectPlacement(const TargetLease &Lease) const {
@@ -271,7 +279,7 @@
         bootNow());
   else if (Exchange.reportedInFlight())
     Target.Gauge->setReportedLoad(*Exchange.reportedInFlight(), bootNow());
-  this->logRateLimit(Target, Exchange);
+  this->recordRateLimit(Target, Exchange, bootNow() - Elapsed);
   if (Exchange.isLeaving()) {
     Target.Gauge->AnnouncedLeaving.store(true);
     this->observe(Target, Evidence::Leaving, Elapsed);
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -99,9 +99,10 @@
   /// Records the evidence of a response.
   void recordResponse(const TargetView &Target, TargetExchange &Exchange,
                       Duration Elapsed);
-  /// Logs a change of the rate limit that the target states.
-  void logRateLimit(const TargetView &Target,
-                    const TargetExchange &Exchange) const;
+  /// Records the rate limit that a response states or leaves out, and tells the
+  /// other nodes.
+  void recordRateLimit(const TargetView &Target, const TargetExchange &Exchange,
+                       Instant Sent);
   /// Logs that a target became suspected of a gray failure, or ceased to be.
   void logSuspicionChange(const TargetView &Target, Evidence Kind,
                           const ServiceGate::EstimateChange &Change) const;
@@ -134,8 +135,10 @@
   /// The result after the last attempt has failed.
   DispatchResult failureResult(const TargetView &Target,
                                const ExchangeFailure &Failed);
+  /// \param RoomAfter time until there may be room for the request, if known.
   DispatchResult refuse(int Status, Step FailedStep, std::string Peer,
-                        std::string Reason);
+                        std::string Reason,
+                        std::optional<Duration> RoomAfter = std::nullopt);
 };
 
 } // namespace siskinstage
--- a/src/node/gossip_command.h
+++ b/src/node/gossip_command.h
@@ -28,6 +28,12 @@
   std::shared_ptr<const std::vector<Address>> Recipients;
 };
 
+/// Tells the given nodes about the rate limit of a target.
+struct SendRateLimit {
+  RateLimitUpdate Update;
+  std::shared_ptr<const std::vector<Address>> Recipients;
+};
+
 /// Sets the addresses that are contacted to join the fleet, and to rejoin parts
 /// of it after a network partition.
 struct SetSeeds {
@@ -42,8 +48,9 @@
 /// A message to the gossip thread: a command, a crash report to forward, or a
 /// peer's table of members to merge.
 using GossipCommand =
-    std::variant<BroadcastRecord, SendReport, SendGrayEstimate, SetSeeds,
-                 SetPlatformUnreachable, CrashReport, std::vector<Member>>;
+    std::variant<BroadcastRecord, SendReport, SendGrayEstimate, SendRateLimit,
+                 SetSeeds, SetPlatformUnreachable, CrashReport,
+                 std::vector<Member>>;
 
 /// Task of the sync thread: to read data from a peer that differs from the data
 /// of this node.
--- a/src/node/gossip_loop.cpp
+++ b/src/node/gossip_loop.cpp
@@ -4,6 +4,7 @@
 #include "net/json_rpc.h"
 #include "net/wall_clock.h"
 #include "node/node_context.h"
+#include "node/rate_limit_log.h"
 #include "node/record_import.h"
 #include "node/service_gate.h"
 #include "node/snapshot.h"
@@ -137,6 +138,8 @@
                                   Report->Kind, Report->Streak, bootNow()}});
   else if (const auto *Gray = std::get_if<GrayEstimateUpdate>(&Message.Body))
     this->handleGrayEstimate(*Gray);
+  else if (const auto *Limit = std::get_if<RateLimitUpdate>(&Message.Body))
+    this->handleRateLimit(*Limit, Message.From);
   else if (const auto *Crash = std::get_if<CrashReport>(&Message.Body))
     this->handleCrash(*Crash);
   else
@@ -161,6 +164,18 @@
       Service->Gate->adopt(*Target.Gauge, Estimate.Percent / Percent);
 }
 
+void GossipLoop::handleRateLimit(const RateLimitUpdate &Update,
+                                 const Member &From) {
+  const auto Service = this->Context.Snapshots.get()->service(Update.Service);
+  if (!Service)
+    return;
+  for (const TargetView &Target : Service->Targets)
+    if (Target.Spec.Id == Update.Target &&
+        Target.Spec.Process == Update.Process &&
+        Service->Gate->adoptRateLimit(*Service, Target, Update.State))
+      logRateLimit(*Service, Target, "node " + From.Id.str());
+}
+
 void GossipLoop::handleRecord(const RecordUpdate &Update, const Member &From) {
   if (Update.Rev <= this->Context.Records.revision(Update.Key))
     return;
@@ -221,6 +236,11 @@
     this->send(To, this->Members.compose(Command.Estimate));
 }
 
+void GossipLoop::execute(const SendRateLimit &Command) {
+  for (const Address &To : *Command.Recipients)
+    this->send(To, this->Members.compose(Command.Update));
+}
+
 void GossipLoop::execute(const SetSeeds &Command) {
   this->Members.setSeeds(Command.Seeds);
 }
--- a/src/node/gossip_loop.h
+++ b/src/node/gossip_loop.h
@@ -54,11 +54,13 @@
   void handleRecord(const RecordUpdate &Update, const Member &From);
   void handleCrash(const CrashReport &Report);
   void handleGrayEstimate(const GrayEstimateUpdate &Estimate);
+  void handleRateLimit(const RateLimitUpdate &Update, const Member &From);
   void compareDigests(const GossipMessage &Message);
   void executeCommands();
   void execute(const BroadcastRecord &Command);
   void execute(const SendReport &Command);
   void execute(const SendGrayEstimate &Command);
+  void execute(const SendRateLimit &Command);
   void execute(const SetSeeds &Command);
   void execute(const SetPlatformUnreachable &Command);
   void execute(const CrashReport &Command);
--- a/src/node/prober.cpp
+++ b/src/node/prober.cpp
@@ -3,6 +3,7 @@
 #include "net/http_client.h"
 #include "node/header_names.h"
 #include "node/node_context.h"
+#include "node/service_gate.h"
 #include "node/snapshot.h"
 #include "node/target_gauge.h"
 #include "siskinstage/config.h"
@@ -55,6 +56,8 @@
 void Prober::probe(const ServiceView &Service, const TargetView &Target) {
   const Instant Started = bootNow();
   Target.Gauge->Pool.expire(Started);
+  if (!Service.Gate->takeProbe(Service, Target))
+    return;
   const auto Response =
       getOnNewConnection(Target.Spec.Endpoint, Service.Record.HealthPath,
                          MaxResponseBytes, Started + config::ProbeTimeout);
--- a/src/node/service_gate.cpp
+++ b/src/node/service_gate.cpp
@@ -82,17 +82,20 @@
         Target.Verdict.Admitted && !Target.Gauge->AnnouncedLeaving.load();
     if (!Available)
       continue;
+    updateRateLimit(View, Target, Now);
     const TargetGauge &Gauge = *Target.Gauge;
-    const PlacementTarget State = {I,
-                                   Gauge.InFlight.load(),
-                                   Gauge.reportedLoad(Now),
-                                   slotsOf(View, Target),
-                                   Target.Verdict.Share,
-                                   isNear(Target, Params),
-                                   Gauge.Gray.probability(Now),
-                                   &Gauge.Started,
-                                   Target.SendsTrialRequests,
-                                   Now - Gauge.LastPlaced};
+    const PlacementTarget State = {
+        I,
+        Gauge.InFlight.load(),
+        Gauge.reportedLoad(Now),
+        slotsOf(View, Target),
+        std::min(Target.Verdict.Share, Gauge.Limit.loadShare(Now)),
+        isNear(Target, Params),
+        Gauge.Gray.probability(Now),
+        &Gauge.Started,
+        Target.SendsTrialRequests,
+        Now - Gauge.LastPlaced,
+        Gauge.Limit.allows(Now)};
     const bool Tried = Params.Tried.count(Target.Spec.Id) > 0;
     const auto Option = Tried
                             ? std::nullopt
@@ -102,7 +105,12 @@
       continue;
     }
     Reason.NoFreeSlot = Reason.NoFreeSlot || !Tried;
-    Reason.UsableByOthers = Reason.UsableByOthers || hasSlot(State);
+    Reason.UsableByOthers =
+        Reason.UsableByOthers || (hasSlot(State) && State.RateAllowed);
+    Reason.UnlimitedTarget =
+        Reason.UnlimitedTarget || (!Tried && !Gauge.Limit.limited());
+    Reason.RateLimited =
+        Reason.RateLimited || (!Tried && hasSlot(State) && !State.RateAllowed);
   }
   return Candidates;
 }
@@ -120,6 +128,7 @@
   Gauge.InFlight.fetch_add(1);
   Gauge.Requests.fetch_add(1);
   Gauge.Started.push_back(Now);
+  Gauge.Limit.take(Now);
   const Duration Idle = Now - std::exchange(Gauge.LastPlaced, Now);
   return TargetLease(this->shared_from_this(), Target,
                      {Now, Idle, Gauge.Gray.probability(Now)});
@@ -145,6 +154,63 @@
   return Gauge.Gray.probability(bootNow());
 }
 
+void ServiceGate::updateRateLimit(const ServiceView &View,
+                                  const TargetView &Target, Instant Now) {
+  TargetGauge &Gauge = *Target.Gauge;
+  Gauge.Limit.expire(Now);
+  if (!Gauge.Limit.limited() ||
+      (!Gauge.Limit.needsShare() && Gauge.LimitGroup == View.Group))
+    return;
+  const double PerSecond = Gauge.Limit.state().PerSecond;
+  const ServingGroup Alone = {{SteeringNode{}}, {}};
+  Gauge.LimitGroup = View.Group;
+  Gauge.Limit.setShare(
+      rateShare(PerSecond, View.Group ? *View.Group : Alone, Target.Spec), Now);
+}
+
+ServiceGate::RateLimitChange
+ServiceGate::hearRateLimit(const ServiceView &View, const TargetView &Target,
+                           std::optional<double> Stated, Instant Sent) {
+  const Instant Now = bootNow();
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  RateLimit &Limit = Target.Gauge->Limit;
+  const RateLimitState Before = Limit.state();
+  const auto Tell = Limit.hear(Stated, Sent, Now);
+  updateRateLimit(View, Target, Now);
+  return {Limit.state() != Before, Tell};
+}
+
+bool ServiceGate::adoptRateLimit(const ServiceView &View,
+                                 const TargetView &Target,
+                                 const RateLimitState &State) {
+  const Instant Now = bootNow();
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  const bool Changed = Target.Gauge->Limit.adopt(State, Now);
+  updateRateLimit(View, Target, Now);
+  return Changed;
+}
+
+bool ServiceGate::takeProbe(const ServiceView &View, const TargetView &Target) {
+  const Instant Now = bootNow();
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  updateRateLimit(View, Target, Now);
+  if (!Target.Gauge->Limit.allows(Now))
+    return false;
+  Target.Gauge->Limit.take(Now);
+  return true;
+}
+
+ServiceGate::RateLimitView ServiceGate::rateLimit(const ServiceView &View,
+                                                  const TargetView &Target) {
+  const Instant Now = bootNow();
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  updateRateLimit(View, Target, Now);
+  const RateLimit &Limit = Target.Gauge->Limit;
+  if (!Limit.limited())
+    return {Limit.state(), {}, {}};
+  return {Limit.state(), Limit.share(), Now - Limit.heardAt()};
+}
+
 ServiceGate::Coverage ServiceGate::coverage(const ServiceView &View) {
   const Instant Now = bootNow();
   const std::lock_guard<std::mutex> Guard(this->Lock);
@@ -174,30 +240,64 @@
   return std::any_of(Found.begin(), Found.end(), isHealthyWithFreeSlot);
 }
 
+double ServiceGate::usableSlots(const ServiceView &View,
+                                const TargetView &Target) {
+  const double Slots = slotsOf(View, Target);
+  const RateLimit &Limit = Target.Gauge->Limit;
+  if (!Limit.limited() || View.MedianLatency == Duration::zero())
+    return Slots;
+  const std::chrono::duration<double> Median = View.MedianLatency;
+  return std::min(Slots, Limit.share().PerSecond * Median.count());
+}
+
 bool ServiceGate::missesDeadline(const ServiceView &View,
                                  Instant Deadline) const {
   // Waiting requests are served in batches of one per slot, each of which takes
   // the median latency.
-  std::uint64_t Slots = 0;
+  double Slots = 0;
   for (const TargetView &Target : View.Targets)
-    Slots += Target.Verdict.Admitted ? slotsOf(View, Target) : 0;
-  if (Slots == 0)
+    Slots += Target.Verdict.Admitted ? usableSlots(View, Target) : 0;
+  if (Slots <= 0)
     return true;
-  const Duration Wait = View.MedianLatency *
-                        static_cast<std::int64_t>(this->Queue.size()) /
-                        static_cast<std::int64_t>(Slots);
+  const auto Wait = std::chrono::duration_cast<Duration>(
+      View.MedianLatency * (static_cast<double>(this->Queue.size()) / Slots));
   return Wait + View.MedianLatency > timeLeft(Deadline);
 }
 
-std::optional<ServiceGate::Refusal>
+std::optional<ServiceGate::Rejection>
+ServiceGate::checkRateLimits(const ServiceView &View, const Shortage &Reason,
+                             std::size_t Ahead, Instant Deadline) {
+  if (!Reason.RateLimited || Reason.UnlimitedTarget)
+    return std::nullopt;
+  double Rate = 0;
+  for (const TargetView &Target : View.Targets)
+    if (Target.Verdict.Admitted)
+      Rate += Target.Gauge->Limit.share().PerSecond;
+  const std::chrono::duration<double> LongestRetry = config::MaxRateRetryAfter;
+  const std::chrono::duration<double> Wait(
+      std::min(LongestRetry.count(), static_cast<double>(Ahead + 1) / Rate));
+  const Duration Longest = std::min<Duration>(
+      timeLeft(Deadline) - View.MedianLatency, config::MaxQueueWait);
+  if (Wait <= Longest)
+    return std::nullopt;
+  return Rejection{Refusal::RateLimited,
+                   std::chrono::duration_cast<Duration>(Wait)};
+}
+
+std::optional<ServiceGate::Rejection>
 ServiceGate::checkWait(const ServiceView &View, Instant Deadline) const {
   if (this->Queue.size() >= config::MaxQueuePerService)
-    return Refusal::QueueFull;
+    return Rejection{Refusal::QueueFull, {}};
   if (this->missesDeadline(View, Deadline))
-    return Refusal::TooLate;
+    return Rejection{Refusal::TooLate, {}};
   return std::nullopt;
 }
 
+std::size_t ServiceGate::waitersAhead(const Waiter *Self) const {
+  const auto Position = std::find(this->Queue.begin(), this->Queue.end(), Self);
+  return static_cast<std::size_t>(std::distance(this->Queue.begin(), Position));
+}
+
 void ServiceGate::wake(Waiter &Waiting) {
   Waiting.Woken = true;
   Waiting.Wakeup.notify_one();
@@ -240,7 +340,7 @@
       wake(*Waiting);
 }
 
-tl::expected<TargetLease, ServiceGate::Refusal>
+tl::expected<TargetLease, ServiceGate::Rejection>
 ServiceGate::acquire(const SnapshotHolder &Snapshots,
                      const PlacementParams &Params) {
   Waiter Self;
@@ -249,20 +349,24 @@
   const auto Dequeue = [this](Waiter *Waiting) { this->dequeue(*Waiting); };
   std::unique_ptr<Waiter, decltype(Dequeue)> Queued(nullptr, Dequeue);
   std::optional<TargetLease> Lease;
-  std::optional<Refusal> Refused;
+  std::optional<Rejection> Refused;
   while (true) {
     Shortage Reason;
     const auto View = Snapshots.get()->service(this->Name);
     if (!View)
-      Refused = Refusal::NoService;
+      Refused = Rejection{Refusal::NoService, {}};
     else if (Queued && bootNow() >= Self.WaitLimit)
-      Refused = Refusal::TooLate;
+      Refused = Rejection{Refusal::TooLate, {}};
     else if (!(Lease = this->tryAcquire(*View, Params, Reason)) &&
              !Reason.NoFreeSlot)
-      Refused = Refusal::NoTarget;
-    else if (!Lease && !Queued)
+      Refused = Rejection{Refusal::NoTarget, {}};
+    else if (!Lease)
+      Refused = checkRateLimits(*View, Reason, this->waitersAhead(&Self),
+                                Params.Deadline);
+    if (!Lease && !Refused && !Queued)
       Refused = this->checkWait(*View, Params.Deadline);
-    if (Queued && (Reason.UsableByOthers || Refused == Refusal::TooLate))
+    const bool Expired = Refused && *Refused == Refusal::TooLate;
+    if (Queued && (Reason.UsableByOthers || Expired))
       this->wakeNextAfter(Self);
     if (Lease || Refused)
       break;
@@ -277,7 +381,7 @@
   }
   if (Lease)
     return std::move(*Lease);
-  return tl::unexpected<Refusal>(*Refused);
+  return tl::unexpected<Rejection>(*Refused);
 }
 
 void ServiceGate::release(TargetGauge &Gauge, Instant Placed) {
--- a/src/node/service_gate.h
+++ b/src/node/service_gate.h
@@ -3,6 +3,7 @@
 
 #include "core/observation.h"
 #include "core/pick.h"
+#include "core/rate_limit.h"
 #include "core/repeatability.h"
 #include "core/retry_budget.h"
 #include "core/retry_share.h"
@@ -38,10 +39,19 @@
 public:
   /// Why a request got no target.
   enum class Refusal {
-    NoTarget,  ///< No admitted target is left untried.
-    QueueFull, ///< config::MaxQueuePerService requests are waiting.
-    TooLate,   ///< No slot is free, or expected to be, before the deadline.
-    NoService, ///< The service is no longer configured.
+    NoTarget,    ///< No admitted target is left untried.
+    QueueFull,   ///< config::MaxQueuePerService requests are waiting.
+    TooLate,     ///< No slot is free, or expected to be, before the deadline.
+    RateLimited, ///< The rate limits of the targets leave no room in time.
+    NoService,   ///< The service is no longer configured.
+  };
+
+  /// A request that got no target.
+  struct Rejection {
+    Refusal Reason = Refusal::NoTarget;
+    /// Time until there may be room, if it is known.
+    std::optional<Duration> RetryAfter;
+    bool operator==(Refusal Other) const { return this->Reason == Other; }
   };
 
   struct Stats {
@@ -63,12 +73,25 @@
     std::uint32_t Idle = 0; ///< Without a request for config::IdleThreshold.
   };
 
+  /// The rate limit of a target, as this node knows it.
+  struct RateLimitView {
+    RateLimitState State;
+    RateShare Share; ///< Of this node.
+    Duration Age{};  ///< Time since it was last heard of.
+  };
+
+  /// Effect of a response on the rate limit of a target.
+  struct RateLimitChange {
+    bool Changed = false;
+    std::optional<RateLimitState> Tell; ///< For the other nodes.
+  };
+
   ServiceGate(ServiceName Name, std::uint64_t Seed);
 
   /// Acquires a slot at an admitted target that was not tried. Waits for one
   /// until the deadline, at most config::MaxQueueWait.
-  tl::expected<TargetLease, Refusal> acquire(const SnapshotHolder &Snapshots,
-                                             const PlacementParams &Params);
+  tl::expected<TargetLease, Rejection> acquire(const SnapshotHolder &Snapshots,
+                                               const PlacementParams &Params);
   /// Called by TargetLease when its slot is free again.
   /// \param Placed when the request that held the slot was placed.
   void release(TargetGauge &Gauge, Instant Placed);
@@ -82,6 +105,20 @@
   [[nodiscard]] Duration idleTime(const TargetGauge &Gauge);
   [[nodiscard]] Coverage coverage(const ServiceView &View);
 
+  /// Adds a response of a target to its rate limit, see RateLimit::hear().
+  RateLimitChange hearRateLimit(const ServiceView &View,
+                                const TargetView &Target,
+                                std::optional<double> Stated, Instant Sent);
+  /// Adds what another node has told. \returns whether the limit changed.
+  bool adoptRateLimit(const ServiceView &View, const TargetView &Target,
+                      const RateLimitState &State);
+  /// Takes a probe from the rate limit of a target. \returns false if that
+  /// leaves no room for it.
+  [[nodiscard]] bool takeProbe(const ServiceView &View,
+                               const TargetView &Target);
+  [[nodiscard]] RateLimitView rateLimit(const ServiceView &View,
+                                        const TargetView &Target);
+
   /// Whether a target that was not tried has a free slot and is probably
   /// healthy, so that an overdue request is better sent there.
   [[nodiscard]] bool hasHealthySlot(const ServiceView &View,
@@ -108,6 +145,10 @@
     bool NoFreeSlot = false;
     /// A slot is free that another request may use.
     bool UsableByOthers = false;
+    /// A target has a free slot, but its rate limit leaves no room.
+    bool RateLimited = false;
+    /// A target without a rate limit is left; a slot of it may become free.
+    bool UnlimitedTarget = false;
   };
 
   ServiceName Name;
@@ -129,9 +170,22 @@
   std::optional<TargetLease> tryAcquire(const ServiceView &View,
                                         const PlacementParams &Params,
                                         Shortage &Reason);
+  /// Ends the rate limit of a target if it is outdated, and updates this node's
+  /// share of it.
+  static void updateRateLimit(const ServiceView &View, const TargetView &Target,
+                              Instant Now);
+  /// Why a request that found no target must not wait for the rate limits to
+  /// leave room, if so.
+  /// \param Ahead number of requests that wait before it.
+  static std::optional<Rejection> checkRateLimits(const ServiceView &View,
+                                                  const Shortage &Reason,
+                                                  std::size_t Ahead,
+                                                  Instant Deadline);
   /// Why a request that found no free slot must not wait for one, if so.
-  [[nodiscard]] std::optional<Refusal> checkWait(const ServiceView &View,
-                                                 Instant Deadline) const;
+  [[nodiscard]] std::optional<Rejection> checkWait(const ServiceView &View,
+                                                   Instant Deadline) const;
+  /// Number of waiters before \p Self; all if it does not wait.
+  [[nodiscard]] std::size_t waitersAhead(const Waiter *Self) const;
   /// Sleeps until \p Self is woken, reaches its limit, or is first in the queue
   /// and due to look for a slot again.
   void await(Waiter &Self, std::unique_lock<std::mutex> &Guard);
@@ -139,6 +193,9 @@
   void wakeFirst();
   void wakeNextAfter(const Waiter &Self);
   void dequeue(Waiter &Self);
+  /// Slots of a target that this node can use: with a rate limit, as many as
+  /// this node's share keeps in use.
+  static double usableSlots(const ServiceView &View, const TargetView &Target);
   /// Whether a request that joins the queue now is expected to miss its
   /// deadline.
   [[nodiscard]] bool missesDeadline(const ServiceView &View,
--- a/src/node/snapshot.h
+++ b/src/node/snapshot.h
@@ -2,6 +2,7 @@
 #define SISKINSTAGE_NODE_SNAPSHOT_H
 
 #include "core/cow_map.h"
+#include "core/rate_share.h"
 #include "core/route_table.h"
 #include "core/service_health.h"
 #include "core/steering.h"
@@ -34,6 +35,8 @@
   /// Fleet addresses of the other nodes that serve the service; they receive
   /// updates about its targets.
   std::shared_ptr<const std::vector<Address>> PeerNodes;
+  /// All nodes that serve the service; null if this node is the only one.
+  std::shared_ptr<const ServingGroup> Group;
   Duration MedianLatency{}; ///< Zero if not known.
   Duration HighLatency{};   ///< 90th percentile, zero if not known.
 };
--- a/src/node/state_dump.cpp
+++ b/src/node/state_dump.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-Json::Value targetDump(const TargetView &Target, ServiceGate &Gate) {
+Json::Value targetDump(const ServiceView &Service, const TargetView &Target) {
+  ServiceGate &Gate = *Service.Gate;
   const ConnectionPool::Stats Pool = Target.Gauge->Pool.stats();
   Json::Value Dump(Json::objectValue);
   Dump["id"] = Target.Spec.Id.str();
@@ -29,7 +30,12 @@
   Dump["ejections"] = Target.Verdict.Ejections;
   Dump["in_flight"] = Target.Gauge->InFlight.load();
   Dump["reported_in_flight"] = Target.Gauge->reportedLoad(bootNow());
-  Dump["rate_limit"] = Target.Gauge->StatedRateLimit.load();
+  const ServiceGate::RateLimitView Limit =
+      Service.Gate->rateLimit(Service, Target);
+  Dump["rate_limit_per_s"] = Limit.State.PerSecond;
+  Dump["rate_share_per_s"] = Limit.Share.PerSecond;
+  Dump["rate_limit_age_ms"] = static_cast<Json::Int64>(
+      std::chrono::duration_cast<Millis>(Limit.Age).count());
   Dump["requests"] = static_cast<Json::UInt64>(Target.Gauge->Requests.load());
   Dump["connections_opened"] = static_cast<Json::UInt64>(Pool.Opened);
   Dump["connections_reused"] = static_cast<Json::UInt64>(Pool.Reused);
@@ -55,7 +61,7 @@
   Dump["retries_left"] = Gate.RetriesLeft;
   Json::Value &Targets = Dump["targets"] = Json::Value(Json::arrayValue);
   for (const TargetView &Target : Service.Targets)
-    Targets.append(targetDump(Target, *Service.Gate));
+    Targets.append(targetDump(Service, Target));
   return Dump;
 }
 
--- a/src/node/target_gauge.h
+++ b/src/node/target_gauge.h
@@ -2,11 +2,13 @@
 #define SISKINSTAGE_NODE_TARGET_GAUGE_H
 
 #include "core/gray_estimate.h"
+#include "core/rate_limit.h"
 #include "node/connection_pool.h"
 #include "siskinstage/config.h"
 
 #include <atomic>
 #include <cstdint>
+#include <memory>
 #include <vector>
 
 namespace siskinstage {
@@ -19,13 +21,15 @@
   /// Set as soon as a response or probe announces that the target leaves,
   /// before the decision thread has updated its verdict.
   std::atomic<bool> AnnouncedLeaving{false};
-  /// Requests per second that the target stated last; zero without a limit.
-  std::atomic<double> StatedRateLimit{0};
   ConnectionPool Pool;
   /// Start times of the requests in flight; guarded by the lock of the
   /// ServiceGate.
   std::vector<Instant> Started;
   GrayEstimate Gray; ///< Guarded by the same lock.
+  RateLimit Limit;   ///< Guarded by the same lock.
+  /// The serving nodes for which this node's share of Limit was computed;
+  /// guarded by the same lock.
+  std::shared_ptr<const ServingGroup> LimitGroup;
   /// When this node last placed a request here; guarded by the same lock.
   Instant LastPlaced;
 
--- a/tests/unit/gossip_test.cpp
+++ b/tests/unit/gossip_test.cpp
@@ -30,7 +30,8 @@
       RecordUpdate{{RecordKind::Route, "r"}, {4}, "{}"},
       TargetReport{ServiceName("s"), TargetId("t"), ReportKind::Failing, 2},
       GrayEstimateUpdate{ServiceName("s"), TargetId("t"), 93},
-      CrashReport{{9}, TargetId("t")}};
+      CrashReport{{9}, TargetId("t")},
+      RateLimitUpdate{ServiceName("s"), TargetId("t"), {8}, {3, 0.25}}};
   for (const GossipBody &Body : Bodies) {
     const GossipMessage Sent = sample(Body);
     const std::string Text = gossipNotification(encodeGossip(Sent));
@@ -60,6 +61,22 @@
   }
 }
 
+TEST(GossipCodec, RefusesRateLimitsOutOfRange) {
+  const Json::Value Valid = encodeGossip(
+      sample(RateLimitUpdate{ServiceName("s"), TargetId("t"), {8}, {3, 0.25}}));
+  ASSERT_TRUE(decodeGossip(Valid));
+  for (const double Rate : {-1.0, 1e-9, 1e300}) {
+    Json::Value Invalid = Valid;
+    Invalid["l"] = Rate;
+    EXPECT_FALSE(decodeGossip(Invalid)) << Rate;
+  }
+  for (const char *Field : {"v", "t", "i", "n", "l"}) {
+    Json::Value Invalid = Valid;
+    Invalid.removeMember(Field);
+    EXPECT_FALSE(decodeGossip(Invalid)) << Field;
+  }
+}
+
 TEST(GossipCodec, AFullMessageFitsIntoADatagram) {
   GossipMessage Message = sample(Ping{1ULL << 40U});
   Message.Updates.assign(config::GossipUpdatesPerMessage + 1,
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -89,7 +89,8 @@
 /// it no request for two seconds.
 std::optional<Candidate> idleTarget(const RequestTraits &Request,
                                     double GrayProbability, double Share = 1,
-                                    std::uint64_t Seed = 1) {
+                                    std::uint64_t Seed = 1,
+                                    bool RateAllowed = true) {
   const std::vector<Instant> None;
   PlacementTarget State;
   State.Capacity = 3;
@@ -99,6 +100,7 @@
   State.Started = &None;
   State.SendsTrials = true;
   State.Idle = Millis(2'000);
+  State.RateAllowed = RateAllowed;
   Random Rng(Seed);
   return candidateOf(State, Request, {Millis(200), Millis(500)}, Instant(),
                      Rng);
@@ -127,6 +129,11 @@
   EXPECT_LT(NotDueCount, 10);
 }
 
+TEST(CandidateOf, ADueTrialObeysTheRateLimit) {
+  EXPECT_TRUE(idleTarget({}, 0.3)->TrialDue);
+  EXPECT_FALSE(idleTarget({}, 0.3, 1, 1, false));
+}
+
 TEST(GrayPenalty, ATrialIsDueOnceAnIdleTargetIsProbablyHealthy) {
   EXPECT_TRUE(isTrialDue(0.3, config::TrialIdleTime));
   EXPECT_FALSE(isTrialDue(0.3, config::TrialIdleTime - Millis(1)));
--- a/tests/unit/service_gate_test.cpp
+++ b/tests/unit/service_gate_test.cpp
@@ -10,7 +10,7 @@
 namespace siskinstage {
 namespace {
 
-using AcquireResult = tl::expected<TargetLease, ServiceGate::Refusal>;
+using AcquireResult = tl::expected<TargetLease, ServiceGate::Rejection>;
 
 /// A service whose targets have one slot each.
 struct Service {
@@ -114,5 +114,63 @@
   EXPECT_EQ(Result.error(), ServiceGate::Refusal::TooLate);
 }
 
+/// Lets the target with index \p Index of \p Only state a limit.
+void limit(Service &Only, std::size_t Index, double PerSecond) {
+  const auto View = Only.Snapshots.get()->service(ServiceName("s"));
+  const auto Change = View->Gate->hearRateLimit(*View, View->Targets[Index],
+                                                PerSecond, bootNow());
+  EXPECT_TRUE(Change.Changed);
+}
+
+/// Guards against requests to a target beyond its rate limit, on each way to a
+/// target: first attempts, retries, probes and requests that waited.
+TEST(ServiceGate, ATargetWithoutRoomInItsRateLimitGetsNothing) {
+  Service Two({"a", "b"});
+  limit(Two, 0, 0.1);
+  const auto View = Two.Snapshots.get()->service(ServiceName("s"));
+  EXPECT_FALSE(View->Gate->takeProbe(*View, View->Targets[0]));
+  EXPECT_TRUE(View->Gate->takeProbe(*View, View->Targets[1]));
+  auto First = Two.acquire(Millis(100));
+  ASSERT_TRUE(First);
+  EXPECT_EQ(First->target().Spec.Id, TargetId("b"));
+  EXPECT_FALSE(Two.acquire(Millis(100)));
+  First->release();
+  EXPECT_FALSE(Two.acquire(Millis(1000), {TargetId("b")}));
+}
+
+/// Guards against a request that is sent to the target it waited for although
+/// the target has stated a rate limit meanwhile.
+TEST(ServiceGate, AWaitingRequestObeysALimitStatedMeanwhile) {
+  Service Only({"a"});
+  auto Holder = Only.acquire(Millis(1000));
+  ASSERT_TRUE(Holder);
+  auto Waiting = Only.queue(Millis(1900));
+  limit(Only, 0, 0.1);
+  Holder->release();
+  ASSERT_TRUE(isReady(Waiting, Millis(500)));
+  const AcquireResult Result = Waiting.get();
+  ASSERT_FALSE(Result);
+  EXPECT_EQ(Result.error(), ServiceGate::Refusal::RateLimited);
+}
+
+/// Guards against requests that are held until their deadline although the rate
+/// limits leave no room before it.
+TEST(ServiceGate, WhatTheRateLimitsLeaveNoRoomForIsRefusedAtOnce) {
+  Service Only({"a"});
+  limit(Only, 0, 0.25);
+  const Instant Started = bootNow();
+  const AcquireResult Result = Only.acquire(Millis(3000));
+  EXPECT_LT(bootNow() - Started, Millis(500));
+  ASSERT_FALSE(Result);
+  EXPECT_EQ(Result.error(), ServiceGate::Refusal::RateLimited);
+  EXPECT_EQ(Result.error().RetryAfter, Duration(Millis(4000)));
+}
+
+TEST(ServiceGate, ARequestWaitsForRoomThatComesInTime) {
+  Service Only({"a"});
+  limit(Only, 0, 2);
+  EXPECT_TRUE(Only.acquire(Millis(1500)));
+}
+
 } // namespace
 } // namespace siskinstage
