An odd entry of a server names no server to use

What callers saw: a server whose entry another writer had replaced by one with a port out of range, no port, or a number too large kept its requests at all nodes; by the users' page such an entry names no server to use. Cause: an entry that could not be translated removed the server; one that was translated and then failed the check of records did not, and the last good one stayed in force. Class: two checks in a row, of which one cleans up. Ruled out: ends of processes and nodes that stop following the list.

--- a/src/node/record_import.cpp
+++ b/src/node/record_import.cpp
@@ -5,7 +5,7 @@
 
 namespace siskinstage {
 
-void importRecord(NodeContext &Context, const Json::Value &Value,
+bool importRecord(NodeContext &Context, const Json::Value &Value,
                   RecordBatch &Batch) {
   RecordReading Reading = readRecord(Value);
   for (const std::string &Warning : Reading.Warnings)
@@ -14,10 +14,12 @@
     logEvent(LogLevel::Error,
              "record " + Reading.Label + " rejected: " + Fault.text(),
              {{"step", stepName(Step::Records)}});
-  if (Reading.Accepted)
-    Batch.Records.push_back(std::move(*Reading.Accepted));
-  else
+  if (!Reading.Accepted) {
     Context.NodeMetrics.countRejectedRecord();
+    return false;
+  }
+  Batch.Records.push_back(std::move(*Reading.Accepted));
+  return true;
 }
 
 void importRecordText(NodeContext &Context, const std::string &Text,
--- a/src/node/record_import.h
+++ b/src/node/record_import.h
@@ -11,8 +11,8 @@
 struct NodeContext;
 
 /// Validates \p Value and adds the record to \p Batch. An invalid record is
-/// logged, counted and left out.
-void importRecord(NodeContext &Context, const Json::Value &Value,
+/// logged, counted and left out. \returns whether it is valid.
+bool importRecord(NodeContext &Context, const Json::Value &Value,
                   RecordBatch &Batch);
 
 /// Parses and imports records from JSON text that \p Peer sent.
