Name the field of a duration that no integer can hold

What callers saw: nothing yet. An entry with a warm-up of 1e300 s was converted by llround, whose result is not defined there and differs between the two kinds of machine, and was refused only later for another field's name. Cause: the duration was checked for its sign, not for its size.

--- a/tests/unit/platform_translation_test.cpp
+++ b/tests/unit/platform_translation_test.cpp
@@ -69,8 +69,10 @@
       {"\"za\"", "7"},
       {"\"slots\":3", "\"slots\":\"3\""},
       {"1.5", "\"soon\""},
+      {"1.5", "1e300"},
       {"\"details\":{", "\"other\":{"}};
-  const std::string Fields[] = {"status.state", "details.zone", "details.slots",
+  const std::string Fields[] = {"status.state",         "details.zone",
+                                "details.slots",        "status.warmup-left-s",
                                 "status.warmup-left-s", "details"};
   for (std::size_t I = 0; I < std::size(Changes); ++I) {
     std::string Text = ValidServer;
