A rejection proves nothing unless it is that of the request

What callers saw: 'not run, try again' (503) for requests that a target was running, and requests that must not run twice ran at a second target, when a faulty target sent a rejection of another request: on a new connection with that request's id, or on a kept one without an id. Cause: a response marked as not run was accepted before its request id was looked at. On kept connections with an id the copy was skipped already. Evidence: test_faulty_targets, two of five tests failed ("ran more than once") and pass now. A rejection without an id still counts on a new connection, where it can only be that of the one request sent there. Ruled out with tests that did not fail before: a rejection repeated with its id on a kept connection; a response that ends in its head, cut at every third byte: no success and no seal reaches the caller, and a repeatable request is served by another target.

--- a/src/node/target_exchange.cpp
+++ b/src/node/target_exchange.cpp
@@ -253,11 +253,15 @@
   const bool Success = Status >= 200 && Status < 300;
   const bool MarkedNotRun =
       !Headers.NotRunHeader.empty() && this->Head.has(Headers.NotRunHeader);
+  const bool LacksRequestId =
+      !this->Head.has(Headers.RequestId) && this->Params.RequireEcho;
+  // A target that can't read a request may reject it without its id. On a
+  // connection in use again, this may be the rejection of an earlier request.
+  const bool MayLackRequestId = MarkedNotRun && !this->Pooled.Reused;
+  if (this->isForOtherRequest() || (LacksRequestId && !MayLackRequestId))
+    return "the answer carries the id of another request or none";
   if (MarkedNotRun)
     return "";
-  const bool HasRequestId = this->Head.has(Headers.RequestId);
-  if (this->isForOtherRequest() || (!HasRequestId && this->Params.RequireEcho))
-    return "the answer carries the id of another request or none";
   if (Success && !Headers.Seal.empty() && !this->Head.has(Headers.Seal))
     return "the answer does not carry the target's seal";
   if (Headers.RejectsEncodedBodies && this->Head.has("Content-Encoding"))
--- /dev/null
+++ b/tests/integration/test_faulty_targets.py
@@ -0,0 +1,215 @@
+"""Tests targets that send wrong bytes on their connections: a node must neither
+take them for the response to another request nor for a complete response."""
+
+import socket
+import threading
+import time
+import unittest
+
+from platform_fleet import PlatformFleet, route
+
+TIMEOUT_S = 10
+
+
+class RawServer:
+    """Takes the place of a server. A script decides which bytes it sends."""
+
+    def __init__(self, server):
+        self.id = server.id
+        self.runs = []  # attempt ids
+        self.script = None
+        server.stop()
+        self.listener = socket.create_server(server.address)
+        self.connections = 0
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def stop(self):
+        self.listener.shutdown(socket.SHUT_RDWR)  # ends accept()
+        self.listener.close()
+
+    def accept(self):
+        while True:
+            try:
+                peer, _ = self.listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            threading.Thread(target=self.serve, args=(peer,),
+                             daemon=True).start()
+
+    def serve(self, peer):
+        previous = None
+        peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with peer:
+            while True:
+                attempt = self.read(peer)
+                if attempt is None or not self.script(peer, attempt, previous):
+                    return
+                previous = attempt
+
+    @staticmethod
+    def read(peer):
+        """Reads a request; returns its attempt id, or None at the end."""
+        text = b""
+        try:
+            while b"\r\n\r\n" not in text:
+                part = peer.recv(65536)
+                if not part:
+                    return None
+                text += part
+            head, body = text.split(b"\r\n\r\n", 1)
+            fields = dict(line.lower().split(": ", 1) for line in
+                          head.decode().split("\r\n")[1:])
+            while len(body) < int(fields.get("content-length", 0)):
+                body += peer.recv(65536)
+        except OSError:
+            return None
+        return fields["attempt-id"]
+
+    def refusal(self, attempt):
+        named = f"Attempt-Id: {attempt}\r\n" if attempt else ""
+        return (f"HTTP/1.1 503 Busy\r\n{named}Not-Executed: 1\r\n"
+                "Content-Length: 4\r\n\r\nbusy").encode()
+
+    def response(self, attempt):
+        body = f"from {self.id}"
+        return (f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\n"
+                f"Server-Seal: seal.{self.id}\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n{body}").encode()
+
+
+class FaultyTargets(unittest.TestCase):
+    def setUp(self):
+        self.fleet = PlatformFleet(nodes=2, servers=2).__enter__()
+        self.addCleanup(self.fleet.stop)
+        self.raw = {}
+
+    def replace(self, service):
+        """Replaces all servers of the service by raw ones."""
+        self.raw = [RawServer(server)
+                    for server in self.fleet.of_service(service)]
+        for raw in self.raw:
+            self.addCleanup(raw.stop)
+        return self.raw
+
+    def runs(self, attempt):
+        return sum(raw.runs.count(attempt) for raw in self.raw)
+
+    def send(self, path, count, method):
+        """Sends requests in close succession, so that connections to targets
+        are used again; returns the status of each by its attempt id."""
+        body = b"lot" if method == "POST" else None
+        return {attempt: self.fleet.request(path, method=method, body=body,
+                                            attempt=attempt, deadline_ms=3000)
+                for attempt in (f"{method.lower()}{number:04d}"
+                                for number in range(count))}
+
+    def expect_truthful(self, results):
+        for attempt, (status, _, _) in results.items():
+            self.assertLessEqual(self.runs(attempt), 1,
+                                 f"{attempt} ran more than once")
+            if status in (408, 421, 429, 503):
+                self.assertEqual(self.runs(attempt), 0,
+                                 f"{attempt} ran, but its status is {status}")
+
+    def serve_after(self, copy):
+        """Servers that refuse each other request, and send copy(refusal of the
+        one before) ahead of the response to the next one, which they run."""
+        def script_of(raw):
+            refused = []
+
+            def script(peer, attempt, previous):
+                if previous is None or previous not in refused:
+                    refused.append(attempt)
+                    peer.sendall(raw.refusal(attempt))
+                    return True
+                peer.sendall(copy(raw, previous))
+                raw.runs.append(attempt)
+                time.sleep(0.03)
+                peer.sendall(raw.response(attempt))
+                return True
+            return script
+        for raw in self.replace("orders"):
+            raw.script = script_of(raw)
+
+    def test_a_refusal_sent_once_more_is_not_that_of_the_next_request(self):
+        self.serve_after(lambda raw, previous: raw.refusal(previous))
+        results = self.send("/orders/1", 30, "POST")
+        self.expect_truthful(results)
+        self.assertGreater(sum(self.runs(attempt) for attempt in results), 3)
+
+    def test_a_refusal_without_an_id_on_a_kept_connection_proves_nothing(self):
+        self.serve_after(lambda raw, previous: raw.refusal(None))
+        results = self.send("/orders/1", 30, "POST")
+        self.expect_truthful(results)
+        self.assertGreater(sum(self.runs(attempt) for attempt in results), 3)
+
+    def test_a_refusal_of_another_request_on_a_new_connection_proves_nothing(
+            self):
+        def script_of(raw):
+            def script(peer, attempt, _):
+                peer.sendall(raw.refusal("feed0000"))
+                raw.runs.append(attempt)
+                return False
+            return script
+        for raw in self.replace("orders"):
+            raw.script = script_of(raw)
+        results = self.send("/orders/1", 6, "POST")
+        self.expect_truthful(results)
+        self.assertGreater(sum(self.runs(attempt) for attempt in results), 3)
+
+    def test_a_response_cut_in_its_head_is_no_success(self):
+        whole = ("HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\n"
+                 "Server-Seal: seal.x\r\nContent-Type: text/plain\r\n"
+                 "Content-Length: 10\r\n\r\n0123456789")
+        head = whole.index("0123456789")
+        cut_at = {"length": 0}
+
+        def script_of(raw):
+            def script(peer, attempt, _):
+                raw.runs.append(attempt)
+                text = whole.format(attempt=attempt).encode()
+                added = len(attempt) - len("{attempt}")
+                peer.sendall(text[:cut_at["length"] + added]
+                             if cut_at["length"] > 40
+                             else text[:cut_at["length"]])
+                return False
+            return script
+        for raw in self.replace("orders"):
+            raw.script = script_of(raw)
+        for length in range(0, head + 10, 3):
+            cut_at["length"] = length
+            with self.subTest(length=length):
+                attempt = f"cut{length:05d}"
+                try:
+                    status, headers, body = self.fleet.request(
+                        "/orders/1", method="POST", body=b"lot",
+                        attempt=attempt, deadline_ms=3000)
+                except OSError:
+                    continue  # The connection broke, which promises nothing.
+                self.assertGreaterEqual(status, 500)
+                self.assertNotIn("Server-Seal", headers)
+                if status == 503:
+                    self.assertEqual(self.runs(attempt), 0)
+
+    def test_a_repeatable_request_survives_a_response_cut_in_its_head(self):
+        def script_of(raw, faulty):
+            def script(peer, attempt, _):
+                raw.runs.append(attempt)
+                if faulty:
+                    peer.sendall(b"HTTP/1.1 200 OK\r\nAttempt-Id: ")
+                    return False
+                peer.sendall(raw.response(attempt))
+                return True
+            return script
+        for number, raw in enumerate(self.replace("reads")):
+            raw.script = script_of(raw, number == 0)
+        self.fleet.configure({"r1": route("/reads/", "reads")})
+        for attempt, (status, _, body) in self.send("/reads/1", 10,
+                                                    "GET").items():
+            self.assertEqual(status, 200, attempt)
+            self.assertEqual(body, f"from {self.raw[1].id}")
+
+
+if __name__ == "__main__":
+    unittest.main()
