Obey a target that leaves or wants no requests for a time

What callers saw: requests that ended with a leaving target, or were shed by one that had asked to be left alone. Cause: the leaving mark was read in the project's own interface only, with its value; the Retry-After of a target was read nowhere. Same class as the rate limit: what a target says of itself had no place. A new notice is an alternative of TargetNotice and a line in the dialect. Retry-After is a node's own: the target asks it of the machine that it answered, and others may still have what it takes. If no target is left that allows a request, it waits only as long as it may be sent in time, else it is refused at once with a fitting Retry-After; if all targets leave, requests are refused at once.

--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -107,7 +107,10 @@
 /// of a request, after which half of the reported requests have ended.
 inline constexpr std::chrono::milliseconds ReportedLoadMaxAge = 300ms;
 
-// Rate limits that targets state in their responses.
+// Notices that targets state in their responses.
+/// Longest time for which a target is left alone at its own request: it must
+/// not be lost for good by a wrong value.
+inline constexpr std::chrono::milliseconds MaxBackOff = 120s;
 /// A lower limit is raised to this: with one request in ten seconds, the end of
 /// the limit is still noticed.
 inline constexpr double MinTargetRate = 0.1;
@@ -130,8 +133,9 @@
 inline constexpr std::chrono::milliseconds MinRateLimitRetention = 15s;
 /// The same in responses, at the rate of the limit.
 inline constexpr double RateLimitRetentionResponses = 3;
-/// Longest Retry-After of a request that was rejected for rate limits.
-inline constexpr std::chrono::milliseconds MaxRateRetryAfter = 5s;
+/// Longest Retry-After of a request that is rejected since what the targets
+/// state leaves no room.
+inline constexpr std::chrono::milliseconds MaxNoticeRetryAfter = 5s;
 
 // Idempotency keys.
 inline constexpr std::chrono::seconds KeyEpochLength = 300s;
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -27,7 +27,7 @@
                                      const RequestTraits &Request,
                                      const UsualLatency &Usual, Instant Now,
                                      Random &Rng) {
-  if (!hasSlot(Target) || !Target.RateAllowed)
+  if (!hasSlot(Target) || !Target.MayReceive)
     return std::nullopt;
   const bool LeavesDomain = Request.LargeBody && !Target.SameDomain;
   const double Gray =
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -27,8 +27,8 @@
   const std::vector<Instant> *Started = nullptr;
   bool SendsTrials = false; ///< This node sends trial requests to it.
   Duration Idle{};          ///< Time since this node's last request to it.
-  /// The target's rate limit leaves room for a request of this node.
-  bool RateAllowed = true;
+  /// What the target states allows a request of this node, see TargetNotices.
+  bool MayReceive = true;
 };
 
 /// Properties of a request that needs a target.
@@ -46,8 +46,8 @@
 
 /// Evaluates one target for a request.
 /// \returns nothing if the request may not be sent there now: no slot is free,
-/// the rate limit leaves no room, or the target has a reduced share of the load
-/// and was not drawn for it.
+/// what the target states does not allow it, or the target has a reduced share
+/// of the load and was not drawn for it.
 std::optional<Candidate> candidateOf(const PlacementTarget &Target,
                                      const RequestTraits &Request,
                                      const UsualLatency &Usual, Instant Now,
--- /dev/null
+++ b/src/core/target_notices.cpp
@@ -0,0 +1,52 @@
+#include "core/target_notices.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace siskinstage {
+
+namespace {
+
+template <typename T>
+const T *findNotice(const std::vector<TargetNotice> &Items) {
+  for (const TargetNotice &Item : Items)
+    if (const auto *Found = std::get_if<T>(&Item))
+      return Found;
+  return nullptr;
+}
+
+} // namespace
+
+TargetNotices::Effect TargetNotices::hear(const StatedNotices &Stated,
+                                          Instant Sent, bool NotRun,
+                                          Instant Now) {
+  Effect Result;
+  const RateLimitState Before = this->Limit.state();
+  if (const auto *Rate = findNotice<RateLimitNotice>(Stated.Items))
+    Result.Tell = this->Limit.hear(Rate->PerSecond, Sent, Now);
+  else if (Stated.NoRateLimit && !NotRun)
+    Result.Tell = this->Limit.hear(std::nullopt, Sent, Now);
+  Result.RateLimitChanged = this->Limit.state() != Before;
+  if (const auto *BackOff = findNotice<BackOffNotice>(Stated.Items)) {
+    Result.BackOffStarted = Now >= this->BackOffEnd;
+    this->BackOffEnd = std::max(this->BackOffEnd, Now + BackOff->Length);
+  }
+  Result.Leaving = findNotice<LeavingNotice>(Stated.Items) != nullptr;
+  if (!Stated.Faults.empty())
+    Result.FirstFault = !std::exchange(this->FaultSeen, true);
+  return Result;
+}
+
+bool TargetNotices::allows(Instant Now) const {
+  return Now >= this->BackOffEnd && this->Limit.allows(Now);
+}
+
+Duration TargetNotices::backOffLeft(Instant Now) const {
+  return std::max(this->BackOffEnd - Now, Duration::zero());
+}
+
+bool TargetNotices::restricts(Instant Now) const {
+  return this->Limit.limited() || Now < this->BackOffEnd;
+}
+
+} // namespace siskinstage
--- a/src/node/dialect.h
+++ b/src/node/dialect.h
@@ -23,11 +23,14 @@
   /// not run; if empty, the outcome header tells it.
   std::string NotRunHeader;
   std::string Leaving = header::Leaving;
+  std::string LeavingValue = "yes";        ///< Of a target that leaves.
   std::string InFlight = header::InFlight; ///< Requests running at a target.
   /// Load of a target: its running requests, waiting requests and slots.
   std::string Load;
   /// Requests per second that a target accepts from all nodes together.
   std::string RateLimit = header::RateLimit;
+  /// Seconds for which a target wants no request from this node.
+  std::string RetryAfter = "Retry-After";
   /// Header that names the only target which may run the request.
   std::string ExpectTarget;
   /// Header that every response to a request that was run must have.
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -3,7 +3,7 @@
 #include "net/boot_time.h"
 #include "node/header_names.h"
 #include "node/node_context.h"
-#include "node/rate_limit_log.h"
+#include "node/notice_log.h"
 #include "node/service_gate.h"
 #include "node/target_gauge.h"
 #include "siskinstage/config.h"
@@ -47,9 +47,8 @@
     return {Step::Queue, Service, "too many requests wait for a slot"};
   case ServiceGate::Refusal::TooLate:
     return {Step::Queue, Service, "no slot comes free before the deadline"};
-  case ServiceGate::Refusal::RateLimited:
-    return {Step::Queue, Service,
-            "the rate limits of the targets leave no room"};
+  case ServiceGate::Refusal::Restricted:
+    return {Step::Queue, Service, "what the targets state leaves no room"};
   case ServiceGate::Refusal::NoService:
     return {Step::Route, Service, "the service is not configured"};
   }
@@ -235,23 +234,23 @@
             {"gray_percent_now", std::to_string(percentOf(Change.After))}});
 }
 
-void Dispatcher::recordRateLimit(const TargetView &Target,
-                                 const TargetExchange &Exchange, Instant Sent) {
+void Dispatcher::recordNotices(const TargetView &Target,
+                               const TargetExchange &Exchange,
+                               Duration Elapsed) {
   const ServiceView &Service = *this->Params.Service;
-  const auto &Stated = Exchange.rateLimit();
-  // A response without a run may come from a part of the target that does not
-  // know the limit.
-  if (!Stated || (!*Stated && Exchange.isNotRun()))
+  const auto Made =
+      Service.Gate->hearNotices(Service, Target, Exchange.notices(),
+                                bootNow() - Elapsed, Exchange.isNotRun());
+  logNotices(Service, Target, Exchange.notices(), Made,
+             "request " + this->Params.Request->Id.str());
+  if (Made.Tell && Service.PeerNodes)
+    this->Context.postCommand(SendRateLimit{
+        {Service.Record.Name, Target.Spec.Id, Target.Spec.Process, *Made.Tell},
+        Service.PeerNodes});
+  if (!Made.Leaving)
     return;
-  const auto Change =
-      Service.Gate->hearRateLimit(Service, Target, *Stated, Sent);
-  if (Change.Changed)
-    logRateLimit(Service, Target, "request " + this->Params.Request->Id.str());
-  if (Change.Tell && Service.PeerNodes)
-    this->Context.postCommand(
-        SendRateLimit{{Service.Record.Name, Target.Spec.Id, Target.Spec.Process,
-                       *Change.Tell},
-                      Service.PeerNodes});
+  Target.Gauge->AnnouncedLeaving.store(true);
+  this->observe(Target, Evidence::Leaving, Elapsed);
 }
 
 void Dispatcher::logSuspectPlacement(const TargetLease &Lease) const {
@@ -279,11 +278,7 @@
         bootNow());
   else if (Exchange.reportedInFlight())
     Target.Gauge->setReportedLoad(*Exchange.reportedInFlight(), bootNow());
-  this->recordRateLimit(Target, Exchange, bootNow() - Elapsed);
-  if (Exchange.isLeaving()) {
-    Target.Gauge->AnnouncedLeaving.store(true);
-    this->observe(Target, Evidence::Leaving, Elapsed);
-  }
+  this->recordNotices(Target, Exchange, Elapsed);
   if (!Exchange.isNotRun())
     this->Context.RequestQuarantine.addResponse(this->RequestHash, bootNow());
   if (Exchange.isNotRun())
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -99,10 +99,10 @@
   /// Records the evidence of a response.
   void recordResponse(const TargetView &Target, TargetExchange &Exchange,
                       Duration Elapsed);
-  /// Records the rate limit that a response states or leaves out, and tells the
-  /// other nodes.
-  void recordRateLimit(const TargetView &Target, const TargetExchange &Exchange,
-                       Instant Sent);
+  /// Records what a response states about the requests that its target
+  /// accepts, and tells the other nodes.
+  void recordNotices(const TargetView &Target, const TargetExchange &Exchange,
+                     Duration Elapsed);
   /// Logs that a target became suspected of a gray failure, or ceased to be.
   void logSuspicionChange(const TargetView &Target, Evidence Kind,
                           const ServiceGate::EstimateChange &Change) const;
--- a/src/node/gossip_loop.cpp
+++ b/src/node/gossip_loop.cpp
@@ -4,7 +4,7 @@
 #include "net/json_rpc.h"
 #include "net/wall_clock.h"
 #include "node/node_context.h"
-#include "node/rate_limit_log.h"
+#include "node/notice_log.h"
 #include "node/record_import.h"
 #include "node/service_gate.h"
 #include "node/snapshot.h"
--- /dev/null
+++ b/src/node/notice_fields.h
@@ -0,0 +1,21 @@
+#ifndef SISKINSTAGE_NODE_NOTICE_FIELDS_H
+#define SISKINSTAGE_NODE_NOTICE_FIELDS_H
+
+#include "core/target_notice.h"
+#include "node/dialect.h"
+
+#include <Poco/Net/HTTPResponse.h>
+
+namespace siskinstage {
+
+/// Reads what a target states in the head of a response. With status 421, the
+/// response is that of another target at the address, and states nothing.
+StatedNotices statedNotices(const Dialect &Headers,
+                            const Poco::Net::HTTPResponse &Head);
+
+/// Whether \p Stated says that the target leaves.
+bool statesLeaving(const StatedNotices &Stated);
+
+} // namespace siskinstage
+
+#endif // SISKINSTAGE_NODE_NOTICE_FIELDS_H
--- a/src/node/prober.cpp
+++ b/src/node/prober.cpp
@@ -1,8 +1,9 @@
 #include "node/prober.h"
 #include "net/boot_time.h"
 #include "net/http_client.h"
-#include "node/header_names.h"
 #include "node/node_context.h"
+#include "node/notice_fields.h"
+#include "node/notice_log.h"
 #include "node/service_gate.h"
 #include "node/snapshot.h"
 #include "node/target_gauge.h"
@@ -53,6 +54,17 @@
   }
 }
 
+bool Prober::recordNotices(const ServiceView &Service, const TargetView &Target,
+                           const Poco::Net::HTTPResponse &Head, Instant Sent) {
+  const StatedNotices Stated =
+      statedNotices(this->Context.NodeSettings.HeaderDialect, Head);
+  // A health check may not know the limit of the work, so it does not end it.
+  const auto Made =
+      Service.Gate->hearNotices(Service, Target, Stated, Sent, true);
+  logNotices(Service, Target, Stated, Made, "probe");
+  return Made.Leaving;
+}
+
 void Prober::probe(const ServiceView &Service, const TargetView &Target) {
   const Instant Started = bootNow();
   Target.Gauge->Pool.expire(Started);
@@ -67,7 +79,7 @@
     Sample.Kind = Response.error().FailedStep == Step::Connect
                       ? Evidence::ConnectFailed
                       : Evidence::Timeout;
-  else if (Response->Head.get(header::Leaving, "") == "yes")
+  else if (this->recordNotices(Service, Target, Response->Head, Started))
     Sample.Kind = Evidence::Leaving;
   else if (Response->Head.getStatus() >= 500)
     Sample.Kind = Evidence::Failure;
--- a/src/node/prober.h
+++ b/src/node/prober.h
@@ -2,6 +2,11 @@
 #define SISKINSTAGE_NODE_PROBER_H
 
 #include "core/random.h"
+#include "siskinstage/units.h"
+
+namespace Poco::Net {
+class HTTPResponse;
+}
 
 namespace siskinstage {
 
@@ -23,6 +28,10 @@
   NodeContext &Context;
   Random Generator;
 
+  /// Records what a response states about the requests that the target accepts.
+  /// \returns whether the target leaves.
+  bool recordNotices(const ServiceView &Service, const TargetView &Target,
+                     const Poco::Net::HTTPResponse &Head, Instant Sent);
   void probe(const ServiceView &Service, const TargetView &Target);
 };
 
--- a/src/node/service_gate.cpp
+++ b/src/node/service_gate.cpp
@@ -82,20 +82,21 @@
         Target.Verdict.Admitted && !Target.Gauge->AnnouncedLeaving.load();
     if (!Available)
       continue;
-    updateRateLimit(View, Target, Now);
+    updateNotices(View, Target, Now);
     const TargetGauge &Gauge = *Target.Gauge;
     const PlacementTarget State = {
         I,
         Gauge.InFlight.load(),
         Gauge.reportedLoad(Now),
         slotsOf(View, Target),
-        std::min(Target.Verdict.Share, Gauge.Limit.loadShare(Now)),
+        std::min(Target.Verdict.Share,
+                 Gauge.Notices.rateLimit().loadShare(Now)),
         isNear(Target, Params),
         Gauge.Gray.probability(Now),
         &Gauge.Started,
         Target.SendsTrialRequests,
         Now - Gauge.LastPlaced,
-        Gauge.Limit.allows(Now)};
+        Gauge.Notices.allows(Now)};
     const bool Tried = Params.Tried.count(Target.Spec.Id) > 0;
     const auto Option = Tried
                             ? std::nullopt
@@ -106,11 +107,11 @@
     }
     Reason.NoFreeSlot = Reason.NoFreeSlot || !Tried;
     Reason.UsableByOthers =
-        Reason.UsableByOthers || (hasSlot(State) && State.RateAllowed);
-    Reason.UnlimitedTarget =
-        Reason.UnlimitedTarget || (!Tried && !Gauge.Limit.limited());
-    Reason.RateLimited =
-        Reason.RateLimited || (!Tried && hasSlot(State) && !State.RateAllowed);
+        Reason.UsableByOthers || (hasSlot(State) && State.MayReceive);
+    Reason.UnrestrictedTarget =
+        Reason.UnrestrictedTarget || (!Tried && !Gauge.Notices.restricts(Now));
+    Reason.Restricted =
+        Reason.Restricted || (!Tried && hasSlot(State) && !State.MayReceive);
   }
   return Candidates;
 }
@@ -128,7 +129,7 @@
   Gauge.InFlight.fetch_add(1);
   Gauge.Requests.fetch_add(1);
   Gauge.Started.push_back(Now);
-  Gauge.Limit.take(Now);
+  Gauge.Notices.take(Now);
   const Duration Idle = Now - std::exchange(Gauge.LastPlaced, Now);
   return TargetLease(this->shared_from_this(), Target,
                      {Now, Idle, Gauge.Gray.probability(Now)});
@@ -154,30 +155,30 @@
   return Gauge.Gray.probability(bootNow());
 }
 
-void ServiceGate::updateRateLimit(const ServiceView &View,
-                                  const TargetView &Target, Instant Now) {
+void ServiceGate::updateNotices(const ServiceView &View,
+                                const TargetView &Target, Instant Now) {
   TargetGauge &Gauge = *Target.Gauge;
-  Gauge.Limit.expire(Now);
-  if (!Gauge.Limit.limited() ||
-      (!Gauge.Limit.needsShare() && Gauge.LimitGroup == View.Group))
+  Gauge.Notices.expire(Now);
+  RateLimit &Limit = Gauge.Notices.rateLimit();
+  if (!Limit.limited() ||
+      (!Limit.needsShare() && Gauge.LimitGroup == View.Group))
     return;
-  const double PerSecond = Gauge.Limit.state().PerSecond;
   const ServingGroup Alone = {{SteeringNode{}}, {}};
   Gauge.LimitGroup = View.Group;
-  Gauge.Limit.setShare(
-      rateShare(PerSecond, View.Group ? *View.Group : Alone, Target.Spec), Now);
+  Limit.setShare(rateShare(Limit.state().PerSecond,
+                           View.Group ? *View.Group : Alone, Target.Spec),
+                 Now);
 }
 
-ServiceGate::RateLimitChange
-ServiceGate::hearRateLimit(const ServiceView &View, const TargetView &Target,
-                           std::optional<double> Stated, Instant Sent) {
+TargetNotices::Effect ServiceGate::hearNotices(const ServiceView &View,
+                                               const TargetView &Target,
+                                               const StatedNotices &Stated,
+                                               Instant Sent, bool NotRun) {
   const Instant Now = bootNow();
   const std::lock_guard<std::mutex> Guard(this->Lock);
-  RateLimit &Limit = Target.Gauge->Limit;
-  const RateLimitState Before = Limit.state();
-  const auto Tell = Limit.hear(Stated, Sent, Now);
-  updateRateLimit(View, Target, Now);
-  return {Limit.state() != Before, Tell};
+  auto Made = Target.Gauge->Notices.hear(Stated, Sent, NotRun, Now);
+  updateNotices(View, Target, Now);
+  return Made;
 }
 
 bool ServiceGate::adoptRateLimit(const ServiceView &View,
@@ -185,30 +186,31 @@
                                  const RateLimitState &State) {
   const Instant Now = bootNow();
   const std::lock_guard<std::mutex> Guard(this->Lock);
-  const bool Changed = Target.Gauge->Limit.adopt(State, Now);
-  updateRateLimit(View, Target, Now);
+  const bool Changed = Target.Gauge->Notices.adopt(State, Now);
+  updateNotices(View, Target, Now);
   return Changed;
 }
 
 bool ServiceGate::takeProbe(const ServiceView &View, const TargetView &Target) {
   const Instant Now = bootNow();
   const std::lock_guard<std::mutex> Guard(this->Lock);
-  updateRateLimit(View, Target, Now);
-  if (!Target.Gauge->Limit.allows(Now))
+  updateNotices(View, Target, Now);
+  if (!Target.Gauge->Notices.allows(Now))
     return false;
-  Target.Gauge->Limit.take(Now);
+  Target.Gauge->Notices.take(Now);
   return true;
 }
 
-ServiceGate::RateLimitView ServiceGate::rateLimit(const ServiceView &View,
-                                                  const TargetView &Target) {
+ServiceGate::NoticesView ServiceGate::notices(const ServiceView &View,
+                                              const TargetView &Target) {
   const Instant Now = bootNow();
   const std::lock_guard<std::mutex> Guard(this->Lock);
-  updateRateLimit(View, Target, Now);
-  const RateLimit &Limit = Target.Gauge->Limit;
-  if (!Limit.limited())
-    return {Limit.state(), {}, {}};
-  return {Limit.state(), Limit.share(), Now - Limit.heardAt()};
+  updateNotices(View, Target, Now);
+  const TargetNotices &Notices = Target.Gauge->Notices;
+  const RateLimit &Limit = Notices.rateLimit();
+  return {Limit.state(), Limit.share(),
+          Limit.limited() ? Now - Limit.heardAt() : Duration::zero(),
+          Notices.backOffLeft(Now)};
 }
 
 ServiceGate::Coverage ServiceGate::coverage(const ServiceView &View) {
@@ -241,22 +243,26 @@
 }
 
 double ServiceGate::usableSlots(const ServiceView &View,
-                                const TargetView &Target) {
+                                const TargetView &Target, Instant Now) {
   const double Slots = slotsOf(View, Target);
-  const RateLimit &Limit = Target.Gauge->Limit;
-  if (!Limit.limited() || View.MedianLatency == Duration::zero())
+  const TargetNotices &Notices = Target.Gauge->Notices;
+  if (Notices.backOffLeft(Now) > Duration::zero())
+    return 0;
+  if (!Notices.rateLimit().limited() || View.MedianLatency == Duration::zero())
     return Slots;
   const std::chrono::duration<double> Median = View.MedianLatency;
-  return std::min(Slots, Limit.share().PerSecond * Median.count());
+  return std::min(Slots,
+                  Notices.rateLimit().share().PerSecond * Median.count());
 }
 
 bool ServiceGate::missesDeadline(const ServiceView &View,
                                  Instant Deadline) const {
   // Waiting requests are served in batches of one per slot, each of which takes
   // the median latency.
+  const Instant Now = bootNow();
   double Slots = 0;
   for (const TargetView &Target : View.Targets)
-    Slots += Target.Verdict.Admitted ? usableSlots(View, Target) : 0;
+    Slots += Target.Verdict.Admitted ? usableSlots(View, Target, Now) : 0;
   if (Slots <= 0)
     return true;
   const auto Wait = std::chrono::duration_cast<Duration>(
@@ -265,23 +271,33 @@
 }
 
 std::optional<ServiceGate::Rejection>
-ServiceGate::checkRateLimits(const ServiceView &View, const Shortage &Reason,
-                             std::size_t Ahead, Instant Deadline) {
-  if (!Reason.RateLimited || Reason.UnlimitedTarget)
+ServiceGate::checkNotices(const ServiceView &View, const Shortage &Reason,
+                          std::size_t Ahead, Instant Deadline) {
+  if (!Reason.Restricted || Reason.UnrestrictedTarget)
     return std::nullopt;
+  const Instant Now = bootNow();
+  Duration Wait = config::MaxNoticeRetryAfter;
   double Rate = 0;
-  for (const TargetView &Target : View.Targets)
-    if (Target.Verdict.Admitted)
-      Rate += Target.Gauge->Limit.share().PerSecond;
-  const std::chrono::duration<double> LongestRetry = config::MaxRateRetryAfter;
-  const std::chrono::duration<double> Wait(
-      std::min(LongestRetry.count(), static_cast<double>(Ahead + 1) / Rate));
+  for (const TargetView &Target : View.Targets) {
+    if (!Target.Verdict.Admitted)
+      continue;
+    const TargetNotices &Notices = Target.Gauge->Notices;
+    const Duration BackOff = Notices.backOffLeft(Now);
+    if (BackOff == Duration::zero())
+      Rate += Notices.rateLimit().share().PerSecond;
+    else if (!Notices.rateLimit().limited())
+      Wait = std::min(Wait, BackOff);
+  }
+  if (Rate > 0)
+    Wait = std::min<Duration>(
+        Wait,
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+            static_cast<double>(Ahead + 1) / Rate)));
   const Duration Longest = std::min<Duration>(
       timeLeft(Deadline) - View.MedianLatency, config::MaxQueueWait);
   if (Wait <= Longest)
     return std::nullopt;
-  return Rejection{Refusal::RateLimited,
-                   std::chrono::duration_cast<Duration>(Wait)};
+  return Rejection{Refusal::Restricted, Wait};
 }
 
 std::optional<ServiceGate::Rejection>
@@ -361,8 +377,8 @@
              !Reason.NoFreeSlot)
       Refused = Rejection{Refusal::NoTarget, {}};
     else if (!Lease)
-      Refused = checkRateLimits(*View, Reason, this->waitersAhead(&Self),
-                                Params.Deadline);
+      Refused = checkNotices(*View, Reason, this->waitersAhead(&Self),
+                             Params.Deadline);
     if (!Lease && !Refused && !Queued)
       Refused = this->checkWait(*View, Params.Deadline);
     const bool Expired = Refused && *Refused == Refusal::TooLate;
--- a/src/node/service_gate.h
+++ b/src/node/service_gate.h
@@ -3,10 +3,10 @@
 
 #include "core/observation.h"
 #include "core/pick.h"
-#include "core/rate_limit.h"
 #include "core/repeatability.h"
 #include "core/retry_budget.h"
 #include "core/retry_share.h"
+#include "core/target_notices.h"
 #include "node/target_lease.h"
 #include "siskinstage/units.h"
 
@@ -39,11 +39,11 @@
 public:
   /// Why a request got no target.
   enum class Refusal {
-    NoTarget,    ///< No admitted target is left untried.
-    QueueFull,   ///< config::MaxQueuePerService requests are waiting.
-    TooLate,     ///< No slot is free, or expected to be, before the deadline.
-    RateLimited, ///< The rate limits of the targets leave no room in time.
-    NoService,   ///< The service is no longer configured.
+    NoTarget,   ///< No admitted target is left untried.
+    QueueFull,  ///< config::MaxQueuePerService requests are waiting.
+    TooLate,    ///< No slot is free, or expected to be, before the deadline.
+    Restricted, ///< What the targets state leaves no room in time.
+    NoService,  ///< The service is no longer configured.
   };
 
   /// A request that got no target.
@@ -73,17 +73,12 @@
     std::uint32_t Idle = 0; ///< Without a request for config::IdleThreshold.
   };
 
-  /// The rate limit of a target, as this node knows it.
-  struct RateLimitView {
-    RateLimitState State;
-    RateShare Share; ///< Of this node.
-    Duration Age{};  ///< Time since it was last heard of.
-  };
-
-  /// Effect of a response on the rate limit of a target.
-  struct RateLimitChange {
-    bool Changed = false;
-    std::optional<RateLimitState> Tell; ///< For the other nodes.
+  /// What a target states, as this node knows it.
+  struct NoticesView {
+    RateLimitState RateLimit;
+    RateShare Share;    ///< Of this node, of the rate limit.
+    Duration Age{};     ///< Time since the rate limit was last heard of.
+    Duration BackOff{}; ///< Remaining time to be left alone.
   };
 
   ServiceGate(ServiceName Name, std::uint64_t Seed);
@@ -105,19 +100,20 @@
   [[nodiscard]] Duration idleTime(const TargetGauge &Gauge);
   [[nodiscard]] Coverage coverage(const ServiceView &View);
 
-  /// Adds a response of a target to its rate limit, see RateLimit::hear().
-  RateLimitChange hearRateLimit(const ServiceView &View,
-                                const TargetView &Target,
-                                std::optional<double> Stated, Instant Sent);
+  /// Adds what a response of a target states, see TargetNotices::hear().
+  TargetNotices::Effect hearNotices(const ServiceView &View,
+                                    const TargetView &Target,
+                                    const StatedNotices &Stated, Instant Sent,
+                                    bool NotRun);
   /// Adds what another node has told. \returns whether the limit changed.
   bool adoptRateLimit(const ServiceView &View, const TargetView &Target,
                       const RateLimitState &State);
-  /// Takes a probe from the rate limit of a target. \returns false if that
-  /// leaves no room for it.
+  /// Takes a probe from what a target allows. \returns false if it allows none
+  /// now.
   [[nodiscard]] bool takeProbe(const ServiceView &View,
                                const TargetView &Target);
-  [[nodiscard]] RateLimitView rateLimit(const ServiceView &View,
-                                        const TargetView &Target);
+  [[nodiscard]] NoticesView notices(const ServiceView &View,
+                                    const TargetView &Target);
 
   /// Whether a target that was not tried has a free slot and is probably
   /// healthy, so that an overdue request is better sent there.
@@ -145,10 +141,10 @@
     bool NoFreeSlot = false;
     /// A slot is free that another request may use.
     bool UsableByOthers = false;
-    /// A target has a free slot, but its rate limit leaves no room.
-    bool RateLimited = false;
-    /// A target without a rate limit is left; a slot of it may become free.
-    bool UnlimitedTarget = false;
+    /// A target has a free slot, but what it states allows no request now.
+    bool Restricted = false;
+    /// A target that states no restriction is left; a slot may become free.
+    bool UnrestrictedTarget = false;
   };
 
   ServiceName Name;
@@ -170,17 +166,17 @@
   std::optional<TargetLease> tryAcquire(const ServiceView &View,
                                         const PlacementParams &Params,
                                         Shortage &Reason);
-  /// Ends the rate limit of a target if it is outdated, and updates this node's
-  /// share of it.
-  static void updateRateLimit(const ServiceView &View, const TargetView &Target,
-                              Instant Now);
-  /// Why a request that found no target must not wait for the rate limits to
-  /// leave room, if so.
+  /// Ends what is outdated of the notices of a target, and updates this node's
+  /// share of its rate limit.
+  static void updateNotices(const ServiceView &View, const TargetView &Target,
+                            Instant Now);
+  /// Why a request that found no target must not wait until the targets allow
+  /// it, if so.
   /// \param Ahead number of requests that wait before it.
-  static std::optional<Rejection> checkRateLimits(const ServiceView &View,
-                                                  const Shortage &Reason,
-                                                  std::size_t Ahead,
-                                                  Instant Deadline);
+  static std::optional<Rejection> checkNotices(const ServiceView &View,
+                                               const Shortage &Reason,
+                                               std::size_t Ahead,
+                                               Instant Deadline);
   /// Why a request that found no free slot must not wait for one, if so.
   [[nodiscard]] std::optional<Rejection> checkWait(const ServiceView &View,
                                                    Instant Deadline) const;
@@ -195,7 +191,8 @@
   void dequeue(Waiter &Self);
   /// Slots of a target that this node can use: with a rate limit, as many as
   /// this node's share keeps in use.
-  static double usableSlots(const ServiceView &View, const TargetView &Target);
+  static double usableSlots(const ServiceView &View, const TargetView &Target,
+                            Instant Now);
   /// Whether a request that joins the queue now is expected to miss its
   /// deadline.
   [[nodiscard]] bool missesDeadline(const ServiceView &View,
--- a/src/node/state_dump.cpp
+++ b/src/node/state_dump.cpp
@@ -30,12 +30,15 @@
   Dump["ejections"] = Target.Verdict.Ejections;
   Dump["in_flight"] = Target.Gauge->InFlight.load();
   Dump["reported_in_flight"] = Target.Gauge->reportedLoad(bootNow());
-  const ServiceGate::RateLimitView Limit =
-      Service.Gate->rateLimit(Service, Target);
-  Dump["rate_limit_per_s"] = Limit.State.PerSecond;
-  Dump["rate_share_per_s"] = Limit.Share.PerSecond;
-  Dump["rate_limit_age_ms"] = static_cast<Json::Int64>(
-      std::chrono::duration_cast<Millis>(Limit.Age).count());
+  const ServiceGate::NoticesView Known = Gate.notices(Service, Target);
+  const auto InMillis = [](Duration Time) {
+    return static_cast<Json::Int64>(
+        std::chrono::duration_cast<Millis>(Time).count());
+  };
+  Dump["rate_limit_per_s"] = Known.RateLimit.PerSecond;
+  Dump["rate_share_per_s"] = Known.Share.PerSecond;
+  Dump["rate_limit_age_ms"] = InMillis(Known.Age);
+  Dump["back_off_ms"] = InMillis(Known.BackOff);
   Dump["requests"] = static_cast<Json::UInt64>(Target.Gauge->Requests.load());
   Dump["connections_opened"] = static_cast<Json::UInt64>(Pool.Opened);
   Dump["connections_reused"] = static_cast<Json::UInt64>(Pool.Reused);
--- a/src/node/target_exchange.cpp
+++ b/src/node/target_exchange.cpp
@@ -1,6 +1,6 @@
 #include "node/target_exchange.h"
-#include "core/rate_limit_header.h"
 #include "net/boot_time.h"
+#include "node/notice_fields.h"
 #include "siskinstage/config.h"
 
 #include <Poco/NumberParser.h>
@@ -280,14 +280,9 @@
     this->NotRun =
         this->Head.has(Headers.NotRunHeader) ||
         (Headers.StatusImpliesNotRun && this->Head.getStatus() == 421);
-  if (!Headers.Leaving.empty())
-    this->Leaving = this->Head.get(Headers.Leaving, "") == "yes";
   this->readLoad();
-  // With status 421, the response is that of another target at the address.
-  if (!Headers.RateLimit.empty() && this->Head.getStatus() != 421)
-    this->RateLimit =
-        parseRateLimit(headerValues(this->Head, Headers.RateLimit));
-  this->Reusable = !wantsClose(this->Head) && !this->Leaving;
+  this->Notices = statedNotices(Headers, this->Head);
+  this->Reusable = !wantsClose(this->Head) && !statesLeaving(this->Notices);
   const std::string Length = this->Head.get("Content-Length", "");
   dropHopHeaders(this->Head);
   this->Head.erase("Content-Length");
--- a/src/node/target_exchange.h
+++ b/src/node/target_exchange.h
@@ -3,6 +3,7 @@
 
 #include "core/attempt.h"
 #include "core/stored_response.h"
+#include "core/target_notice.h"
 #include "node/connection_pool.h"
 #include "node/dialect.h"
 #include "node/request_body.h"
@@ -70,17 +71,12 @@
   [[nodiscard]] std::optional<std::uint64_t> length() const;
   /// Whether the target marked the response as not run.
   [[nodiscard]] bool isNotRun() const { return this->NotRun; }
-  /// Whether the target announced that it accepts no new requests.
-  [[nodiscard]] bool isLeaving() const { return this->Leaving; }
   /// Requests in flight at the target, if it reported them.
   [[nodiscard]] std::optional<std::uint32_t> reportedInFlight() const {
     return this->InFlight;
   }
-  /// The rate limit that the target stated, or an error if it is invalid.
-  [[nodiscard]] const tl::expected<std::optional<double>, std::string> &
-  rateLimit() const {
-    return this->RateLimit;
-  }
+  /// What the target states about the requests that it accepts.
+  [[nodiscard]] const StatedNotices &notices() const { return this->Notices; }
   [[nodiscard]] bool reused() const { return this->Pooled.Reused; }
   /// Whether a part of the caller's body was not read.
   [[nodiscard]] bool isRequestBodyUnread() const {
@@ -103,14 +99,13 @@
   std::optional<BodyReader> Reader;
   StoredResponse Response;
   bool NotRun = false;
-  bool Leaving = false;
   bool Reusable = false;
   bool Finished = false;
   bool Abandoned = false; ///< OnOverdue has ended the attempt.
   bool CheckRequestId = true;
   std::string OutcomeText; ///< Value of the outcome header, if any.
   std::optional<std::uint32_t> InFlight;
-  tl::expected<std::optional<double>, std::string> RateLimit;
+  StatedNotices Notices;
 
   ExchangeResult<void> send();
   ExchangeResult<void> sendRest(bool Chunked);
--- a/src/node/target_gauge.h
+++ b/src/node/target_gauge.h
@@ -2,7 +2,7 @@
 #define SISKINSTAGE_NODE_TARGET_GAUGE_H
 
 #include "core/gray_estimate.h"
-#include "core/rate_limit.h"
+#include "core/target_notices.h"
 #include "node/connection_pool.h"
 #include "siskinstage/config.h"
 
@@ -25,10 +25,10 @@
   /// Start times of the requests in flight; guarded by the lock of the
   /// ServiceGate.
   std::vector<Instant> Started;
-  GrayEstimate Gray; ///< Guarded by the same lock.
-  RateLimit Limit;   ///< Guarded by the same lock.
-  /// The serving nodes for which this node's share of Limit was computed;
-  /// guarded by the same lock.
+  GrayEstimate Gray;     ///< Guarded by the same lock.
+  TargetNotices Notices; ///< Guarded by the same lock.
+  /// The serving nodes for which this node's share of the rate limit was
+  /// computed; guarded by the same lock.
   std::shared_ptr<const ServingGroup> LimitGroup;
   /// When this node last placed a request here; guarded by the same lock.
   Instant LastPlaced;
