Let nodes take turns at a limit that nobody in charge uses

What callers saw: nothing; a target with a limit got nothing for 15 s where the failure domain of the nodes in charge had no callers, and then a request of each node, of which a large fleet has more than a low limit allows. Cause: silence of the nodes in charge and the end of a limit looked alike. Change: after 2 s and one interval of the limit without news, the serving nodes take turns by rank, one request a turn; the first one that gets a response takes over a third of the limit until a node in charge is heard again. Without any response the limit is held for 60 s in place of 15. The bucket holds 0.8 s of the share in place of 0.5. Tried and not kept: the whole limit for the node that takes over.

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -7,7 +7,7 @@
 import statistics
 import time
 
-from fleet import Fleet, process_usage, wait_for
+from fleet import Fleet, process_usage
 from report_lines import Report
 
 SEED = 81
@@ -19,13 +19,6 @@
 MEMORY_BOUND_MB = 256
 
 
-def await_idle(fleet, count):
-    """Waits until no node has updates left to broadcast from the start."""
-    wait_for(lambda: not any(fleet.state(i)["gossip"]["news"]
-                             for i in range(count)), 240,
-             "all membership updates to be broadcast")
-
-
 def measure_idle(fleet, count):
     """Mean bytes/s sent and received, fraction of a core and resident MB of a
     node over IDLE_SECONDS."""
@@ -78,7 +71,7 @@
     traffic, cpu, memory = [], [], []
     for count in SIZES:
         with Fleet(nodes=count, log_level="warn") as fleet:
-            await_idle(fleet, count)
+            fleet.await_quiet_gossip()
             usage = measure_idle(fleet, count)
             traffic.append((count, usage[0]))
             cpu.append((count, usage[1]))
--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -121,18 +121,24 @@
 inline constexpr double RatePerNodeInCharge = 2;
 /// Unused requests that a node may send at once, beyond the first, in seconds
 /// of its share.
-inline constexpr double RateBurstSeconds = 0.5;
+inline constexpr double RateBurstSeconds = 0.8;
 /// Period in which one node repeats a limit to the others.
 inline constexpr std::chrono::milliseconds RateLimitRepeatPeriod = 1s;
 /// A limit ends with this many successive responses without it: a single one
 /// may come from an error path of the target that does not state it.
 inline constexpr int RateLimitEndResponses = 2;
-/// A limit that was not heard of for this long has ended: several periods in
-/// which it is repeated, since nodes that do not serve the service get no
-/// repetitions, and each of them tries the target once after this time.
-inline constexpr std::chrono::milliseconds MinRateLimitRetention = 15s;
-/// The same in responses, at the rate of the limit.
-inline constexpr double RateLimitRetentionResponses = 3;
+/// If nothing is heard of a limit for this long, and for the interval between
+/// two of its requests, the nodes in charge do not use it: two periods in which
+/// it is repeated.
+inline constexpr std::chrono::milliseconds RateSilenceTime = 2s;
+/// Part of an unused limit that a node takes over: three nodes that do so at
+/// the same time together have the whole limit.
+inline constexpr double RateHolderFraction = 1.0 / 3;
+/// Time in which the nodes agree on the one that takes over an unused limit.
+inline constexpr std::chrono::milliseconds RateHolderSettleTime = 500ms;
+/// A limit that was not heard of for this long has ended. Until then the nodes
+/// have tried the target in turns, and it has sent no response.
+inline constexpr std::chrono::milliseconds RateLimitRetention = 60s;
 /// Longest Retry-After of a request that is rejected since what the targets
 /// state leaves no room.
 inline constexpr std::chrono::milliseconds MaxNoticeRetryAfter = 5s;
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -255,6 +255,12 @@
                             f"/work?target={target}")[1]
         return [ms / 1000 for ms in json.loads(text)]
 
+    def take_arrival_times(self, target):
+        """The same for all requests that arrived, including those shed."""
+        text = send_request(TARGET_CONTROL_PORT, "GET",
+                            f"/arrivals?target={target}")[1]
+        return [ms / 1000 for ms in json.loads(text)]
+
     def set_fault(self, link, query):
         """Sets the fault rule of a link of the fault proxy, or of all."""
         send_request(FAULT_CONTROL_PORT, "POST", f"/rule?link={link}&{query}")
@@ -294,6 +300,12 @@
                      READY_SECONDS,
                      f"node {index} to see {running} live members")
 
+    def await_quiet_gossip(self, seconds=240):
+        """Waits until no node has updates left to broadcast."""
+        wait_for(lambda: not any(self.state(i)["gossip"]["news"]
+                                 for i in range(self.node_count)), seconds,
+                 "all membership updates to be broadcast")
+
     def state(self, index):
         return json.loads(send_request(OPERATOR_PORT + index, "GET",
                                        "/state")[1])
--- a/src/core/rate_limit.cpp
+++ b/src/core/rate_limit.cpp
@@ -17,7 +17,9 @@
 } // namespace
 
 std::optional<RateLimitState> RateLimit::hear(std::optional<double> Stated,
-                                              Instant Sent, Instant Now) {
+                                              Instant Sent,
+                                              const RateLimitSource &Self,
+                                              Instant Now) {
   if (!Stated) {
     if (!this->limited() || Sent <= this->HeardAt ||
         ++this->ResponsesWithout < config::RateLimitEndResponses)
@@ -26,8 +28,7 @@
     this->ToldAt = Now;
     return this->State;
   }
-  this->HeardAt = Now;
-  this->ResponsesWithout = 0;
+  this->heardBy(Self, Now);
   const bool Changed = *Stated != this->State.PerSecond;
   if (Changed)
     this->change({this->State.Version + 1, *Stated}, Now);
@@ -37,7 +38,8 @@
   return this->State;
 }
 
-bool RateLimit::adopt(const RateLimitState &Theirs, Instant Now) {
+bool RateLimit::adopt(const RateLimitState &Theirs, const RateLimitSource &From,
+                      Instant Now) {
   if (Theirs.Version < this->State.Version)
     return false;
   // Of two changes made at the same time, the lower limit holds.
@@ -46,9 +48,8 @@
       Theirs.PerSecond > 0 &&
       (!this->limited() || Theirs.PerSecond < this->State.PerSecond);
   if (Theirs.PerSecond > 0) {
-    this->HeardAt = Now;
+    this->heardBy(From, Now);
     this->ToldAt = Now;
-    this->ResponsesWithout = 0;
   }
   if (Same && !Stricter)
     return false;
@@ -66,6 +67,7 @@
     this->HeardAt = Now;
     this->Share = {};
     this->Tokens = 0;
+    this->Holder = {};
   }
   if (WasLimited && !this->limited()) {
     this->Share = {};
@@ -74,16 +76,42 @@
   }
 }
 
-Duration RateLimit::retention() const {
-  const std::chrono::duration<double> Responses(
-      config::RateLimitRetentionResponses / this->State.PerSecond);
-  return std::max<Duration>(config::MinRateLimitRetention,
-                            std::chrono::duration_cast<Duration>(Responses));
+void RateLimit::heardBy(const RateLimitSource &Source, Instant Now) {
+  // Two nodes may hear of it in the same turn; then all agree on one of them.
+  const bool SameTime = Now - this->HolderSince < config::RateHolderSettleTime;
+  const bool Precedes =
+      !this->Holder.empty() && SameTime && Source.Node < this->Holder;
+  const Address Before = this->Holder;
+  if (Source.InCharge)
+    this->Holder = {};
+  else if (this->limited() && (this->silent(Now) || Precedes)) {
+    this->Holder = Source.Node;
+    this->HolderSince = Now;
+  }
+  this->ShareOutdated = this->ShareOutdated || this->Holder != Before;
+  this->HeardAt = Now;
+  this->ResponsesWithout = 0;
+  this->UsedTurn.reset();
+}
+
+Duration RateLimit::silenceTime() const {
+  const std::chrono::duration<double> Interval(1 / this->State.PerSecond);
+  return config::RateSilenceTime +
+         std::chrono::duration_cast<Duration>(Interval);
+}
+
+bool RateLimit::silent(Instant Now) const {
+  return Now - this->HeardAt > this->silenceTime();
+}
+
+std::uint64_t RateLimit::turn(Instant Now) const {
+  const Duration Elapsed = Now - this->HeardAt - this->silenceTime();
+  return static_cast<std::uint64_t>(inSeconds(Elapsed) * this->State.PerSecond);
 }
 
 void RateLimit::expire(Instant Now) {
   // The version stays, so that the limit holds again if a node repeats it.
-  if (this->limited() && Now - this->HeardAt > this->retention())
+  if (this->limited() && Now - this->HeardAt > config::RateLimitRetention)
     this->change({this->State.Version, 0}, Now);
 }
 
@@ -102,13 +130,21 @@
 }
 
 bool RateLimit::allows(Instant Now) const {
-  return !this->limited() || this->tokensAt(Now) >= 1;
+  if (!this->limited())
+    return true;
+  if (!this->silent(Now))
+    return this->tokensAt(Now) >= 1;
+  const std::uint64_t Turn = this->turn(Now);
+  return this->Share.Nodes > 0 &&
+         Turn % this->Share.Nodes == this->Share.Rank && this->UsedTurn != Turn;
 }
 
 void RateLimit::take(Instant Now) {
   if (!this->limited())
     return;
-  this->Tokens = this->tokensAt(Now) - 1;
+  if (this->silent(Now))
+    this->UsedTurn = this->turn(Now);
+  this->Tokens = std::max(0.0, this->tokensAt(Now) - 1);
   this->RefilledAt = Now;
 }
 
--- a/src/core/rate_limit.h
+++ b/src/core/rate_limit.h
@@ -2,6 +2,7 @@
 #define SISKINSTAGE_CORE_RATE_LIMIT_H
 
 #include "core/rate_share.h"
+#include "siskinstage/strong_id.h"
 #include "siskinstage/units.h"
 
 #include <cstdint>
@@ -18,9 +19,18 @@
   bool operator==(const RateLimitState &) const = default;
 };
 
+/// A node that has heard of a limit from the target.
+struct RateLimitSource {
+  Address Node;
+  bool InCharge = false; ///< See isInCharge().
+};
+
 /// The rate limit of one target as one node knows it, and a token bucket with
-/// the node's share of it. After the limit has ended, the target's share of the
-/// load grows slowly to its usual one.
+/// the node's share of it. While nothing is heard of the limit, since the nodes
+/// in charge have no requests or get no responses, the serving nodes take turns
+/// instead, and the first one that gets a response takes over the limit. After
+/// the limit has ended, the target's share of the load grows slowly to its
+/// usual one.
 class RateLimit {
 public:
   /// Adds a response of the target. The limit ends with
@@ -28,13 +38,15 @@
   /// requests sent after the limit was last heard of.
   /// \param Stated the limit that it states, if any.
   /// \param Sent   when its request was sent.
+  /// \param Self   this node.
   /// \returns the state to tell the other nodes, if it has changed or is due
   ///          to be repeated.
   std::optional<RateLimitState> hear(std::optional<double> Stated, Instant Sent,
-                                     Instant Now);
-  /// Adds the state that another node has told. \returns whether the limit
-  /// changed.
-  bool adopt(const RateLimitState &Theirs, Instant Now);
+                                     const RateLimitSource &Self, Instant Now);
+  /// Adds the state that another node has told. \returns whether the
+  /// limit changed.
+  bool adopt(const RateLimitState &Theirs, const RateLimitSource &From,
+             Instant Now);
   /// Ends the limit if it was not heard of for a time.
   void expire(Instant Now);
   /// Sets this node's share. A node that had none starts with an empty bucket:
@@ -48,6 +60,8 @@
   [[nodiscard]] const RateShare &share() const { return this->Share; }
   /// When the limit was last heard of.
   [[nodiscard]] Instant heardAt() const { return this->HeardAt; }
+  /// The node that has taken over the limit; empty if none has.
+  [[nodiscard]] const Address &holder() const { return this->Holder; }
   /// Whether this node may send the target a request.
   [[nodiscard]] bool allows(Instant Now) const;
   /// Takes one request from this node's share.
@@ -67,10 +81,20 @@
   bool ShareOutdated = false;
   double Tokens = 0;
   Instant RefilledAt;
+  Address Holder;
+  Instant HolderSince;
+  /// The last turn that this node has used, counted from HeardAt.
+  std::optional<std::uint64_t> UsedTurn;
 
+  /// Records that a node has heard of the limit.
+  void heardBy(const RateLimitSource &Source, Instant Now);
+  /// Whether nothing was heard of the limit for long.
+  [[nodiscard]] bool silent(Instant Now) const;
+  /// The current turn while the nodes take turns.
+  [[nodiscard]] std::uint64_t turn(Instant Now) const;
+  [[nodiscard]] Duration silenceTime() const;
   void change(const RateLimitState &New, Instant Now);
   [[nodiscard]] double tokensAt(Instant Now) const;
-  [[nodiscard]] Duration retention() const;
 };
 
 } // namespace siskinstage
--- a/src/core/rate_share.cpp
+++ b/src/core/rate_share.cpp
@@ -3,55 +3,73 @@
 
 #include <algorithm>
 #include <cmath>
-#include <utility>
+#include <optional>
+#include <tuple>
 
 namespace siskinstage {
 
 namespace {
 
-/// The nodes of \p Group in the failure domain of \p Target, or all of them if
-/// none is.
-std::vector<const SteeringNode *> nearestNodes(const ServingGroup &Group,
-                                               const TargetSpec &Target) {
-  std::vector<const SteeringNode *> Near;
-  std::vector<const SteeringNode *> All;
-  for (const SteeringNode &Node : Group.Nodes) {
-    All.push_back(&Node);
-    if (Node.Domain == Target.Domain)
-      Near.push_back(&Node);
-  }
-  return Near.empty() ? All : Near;
+/// Order of the serving nodes for being in charge of a target, highest first.
+std::tuple<bool, std::uint64_t, Address> precedence(const SteeringNode &Node,
+                                                    const TargetSpec &Target) {
+  return {Node.Domain == Target.Domain,
+          rendezvousWeight(Target.Id.str(), Node.Id.str()), Node.Endpoint};
 }
 
-/// Weight of a node for being in charge of a target; the highest ones are.
-std::pair<std::uint64_t, Address> weightOf(const SteeringNode &Node,
-                                           const TargetSpec &Target) {
-  return {rendezvousWeight(Target.Id.str(), Node.Id.str()), Node.Endpoint};
+/// Position of the node at \p Endpoint in that order; nothing if it does not
+/// serve.
+std::optional<std::size_t> rankOf(const Address &Endpoint,
+                                  const ServingGroup &Group,
+                                  const TargetSpec &Target) {
+  const auto Found = std::find_if(
+      Group.Nodes.begin(), Group.Nodes.end(),
+      [&](const SteeringNode &Node) { return Node.Endpoint == Endpoint; });
+  if (Found == Group.Nodes.end())
+    return std::nullopt;
+  const auto Own = precedence(*Found, Target);
+  return static_cast<std::size_t>(std::count_if(
+      Group.Nodes.begin(), Group.Nodes.end(), [&](const SteeringNode &Node) {
+        return precedence(Node, Target) > Own;
+      }));
+}
+
+/// Number of nodes in charge, the first ones in that order.
+std::size_t countInCharge(double PerSecond, const ServingGroup &Group,
+                          const TargetSpec &Target) {
+  const auto Near = static_cast<std::size_t>(std::count_if(
+      Group.Nodes.begin(), Group.Nodes.end(),
+      [&](const SteeringNode &Node) { return Node.Domain == Target.Domain; }));
+  const double Most = static_cast<double>(Near > 0 ? Near : Group.Nodes.size());
+  return static_cast<std::size_t>(std::clamp(
+      std::ceil(PerSecond / config::RatePerNodeInCharge), 1.0, Most));
 }
 
 } // namespace
 
+bool isInCharge(const Address &Endpoint, double PerSecond,
+                const ServingGroup &Group, const TargetSpec &Target) {
+  const auto Rank = rankOf(Endpoint, Group, Target);
+  return Rank && *Rank < countInCharge(PerSecond, Group, Target);
+}
+
 RateShare rateShare(double PerSecond, const ServingGroup &Group,
-                    const TargetSpec &Target) {
-  const auto Nodes = nearestNodes(Group, Target);
-  const auto Own =
-      std::find_if(Nodes.begin(), Nodes.end(), [&](const SteeringNode *Node) {
-        return Node->Endpoint == Group.Self;
-      });
-  if (Own == Nodes.end())
-    return {};
-  const auto OwnWeight = weightOf(**Own, Target);
-  const auto Rank =
-      std::count_if(Nodes.begin(), Nodes.end(), [&](const SteeringNode *Node) {
-        return weightOf(*Node, Target) > OwnWeight;
-      });
-  const double InCharge =
-      std::clamp(std::ceil(PerSecond / config::RatePerNodeInCharge), 1.0,
-                 static_cast<double>(Nodes.size()));
-  if (static_cast<double>(Rank) >= InCharge)
+                    const TargetSpec &Target, const Address &Holder) {
+  const auto Rank = rankOf(Group.Self, Group, Target);
+  if (!Rank)
     return {};
-  const double Share = PerSecond / InCharge;
-  return {Share, 1 + Share * config::RateBurstSeconds};
+  RateShare Share;
+  Share.Rank = static_cast<std::uint32_t>(*Rank);
+  Share.Nodes = static_cast<std::uint32_t>(Group.Nodes.size());
+  const std::size_t InCharge = countInCharge(PerSecond, Group, Target);
+  const auto HolderRank = rankOf(Holder, Group, Target);
+  const bool Held = HolderRank && *HolderRank >= InCharge;
+  if (Held ? *HolderRank != *Rank : *Rank >= InCharge)
+    return Share;
+  Share.PerSecond = Held ? PerSecond * config::RateHolderFraction
+                         : PerSecond / static_cast<double>(InCharge);
+  Share.Burst = 1 + Share.PerSecond * config::RateBurstSeconds;
+  return Share;
 }
 
 } // namespace siskinstage
--- a/src/core/target_notices.cpp
+++ b/src/core/target_notices.cpp
@@ -18,14 +18,15 @@
 } // namespace
 
 TargetNotices::Effect TargetNotices::hear(const StatedNotices &Stated,
-                                          Instant Sent, bool NotRun,
-                                          Instant Now) {
+                                          Instant Sent,
+                                          const RateLimitSource &Self,
+                                          bool NotRun, Instant Now) {
   Effect Result;
   const RateLimitState Before = this->Limit.state();
   if (const auto *Rate = findNotice<RateLimitNotice>(Stated.Items))
-    Result.Tell = this->Limit.hear(Rate->PerSecond, Sent, Now);
+    Result.Tell = this->Limit.hear(Rate->PerSecond, Sent, Self, Now);
   else if (Stated.NoRateLimit && !NotRun)
-    Result.Tell = this->Limit.hear(std::nullopt, Sent, Now);
+    Result.Tell = this->Limit.hear(std::nullopt, Sent, Self, Now);
   Result.RateLimitChanged = this->Limit.state() != Before;
   if (const auto *BackOff = findNotice<BackOffNotice>(Stated.Items)) {
     Result.BackOffStarted = Now >= this->BackOffEnd;
--- a/src/core/target_notices.h
+++ b/src/core/target_notices.h
@@ -27,15 +27,17 @@
 
   /// Adds a response of the target.
   /// \param Sent   when its request was sent.
+  /// \param Self   this node.
   /// \param NotRun the target rejected the request. Such a response may come
   ///               from a part of the target that does not know its limit, and
   ///               does not end it.
-  Effect hear(const StatedNotices &Stated, Instant Sent, bool NotRun,
-              Instant Now);
-  /// Adds the state of the rate limit that another node has told. \returns
-  /// whether the limit changed.
-  bool adopt(const RateLimitState &Theirs, Instant Now) {
-    return this->Limit.adopt(Theirs, Now);
+  Effect hear(const StatedNotices &Stated, Instant Sent,
+              const RateLimitSource &Self, bool NotRun, Instant Now);
+  /// Adds the state of the rate limit that another node has told.
+  /// \returns whether the limit changed.
+  bool adopt(const RateLimitState &Theirs, const RateLimitSource &From,
+             Instant Now) {
+    return this->Limit.adopt(Theirs, From, Now);
   }
   /// Ends what is outdated.
   void expire(Instant Now) { this->Limit.expire(Now); }
--- a/src/node/gossip_loop.cpp
+++ b/src/node/gossip_loop.cpp
@@ -172,7 +172,8 @@
   for (const TargetView &Target : Service->Targets)
     if (Target.Spec.Id == Update.Target &&
         Target.Spec.Process == Update.Process &&
-        Service->Gate->adoptRateLimit(*Service, Target, Update.State))
+        Service->Gate->adoptRateLimit(*Service, Target, Update.State,
+                                      From.Endpoint))
       logRateLimit(*Service, Target, "node " + From.Id.str());
 }
 
--- a/src/node/service_gate.cpp
+++ b/src/node/service_gate.cpp
@@ -14,6 +14,13 @@
 
 namespace {
 
+RateLimitSource rateLimitSource(const ServiceView &View,
+                                const TargetView &Target, const Address &Node) {
+  const double PerSecond = Target.Gauge->Notices.rateLimit().state().PerSecond;
+  return {Node,
+          !View.Group || isInCharge(Node, PerSecond, *View.Group, Target.Spec)};
+}
+
 bool isNear(const TargetView &Target, const PlacementParams &Params) {
   return !Params.OwnDomain.empty() && Target.Spec.Domain == Params.OwnDomain;
 }
@@ -166,7 +173,8 @@
   const ServingGroup Alone = {{SteeringNode{}}, {}};
   Gauge.LimitGroup = View.Group;
   Limit.setShare(rateShare(Limit.state().PerSecond,
-                           View.Group ? *View.Group : Alone, Target.Spec),
+                           View.Group ? *View.Group : Alone, Target.Spec,
+                           Limit.holder()),
                  Now);
 }
 
@@ -176,17 +184,21 @@
                                                Instant Sent, bool NotRun) {
   const Instant Now = bootNow();
   const std::lock_guard<std::mutex> Guard(this->Lock);
-  auto Made = Target.Gauge->Notices.hear(Stated, Sent, NotRun, Now);
+  const Address Self = View.Group ? View.Group->Self : Address();
+  auto Made = Target.Gauge->Notices.hear(
+      Stated, Sent, rateLimitSource(View, Target, Self), NotRun, Now);
   updateNotices(View, Target, Now);
   return Made;
 }
 
 bool ServiceGate::adoptRateLimit(const ServiceView &View,
                                  const TargetView &Target,
-                                 const RateLimitState &State) {
+                                 const RateLimitState &State,
+                                 const Address &From) {
   const Instant Now = bootNow();
   const std::lock_guard<std::mutex> Guard(this->Lock);
-  const bool Changed = Target.Gauge->Notices.adopt(State, Now);
+  const bool Changed = Target.Gauge->Notices.adopt(
+      State, rateLimitSource(View, Target, From), Now);
   updateNotices(View, Target, Now);
   return Changed;
 }
--- a/src/node/service_gate.h
+++ b/src/node/service_gate.h
@@ -107,7 +107,7 @@
                                     bool NotRun);
   /// Adds what another node has told. \returns whether the limit changed.
   bool adoptRateLimit(const ServiceView &View, const TargetView &Target,
-                      const RateLimitState &State);
+                      const RateLimitState &State, const Address &From);
   /// Takes a probe from what a target allows. \returns false if it allows none
   /// now.
   [[nodiscard]] bool takeProbe(const ServiceView &View,
--- a/tests/standin/target_behaviour.cpp
+++ b/tests/standin/target_behaviour.cpp
@@ -18,6 +18,8 @@
   SetNumber("crash_after", this->CrashAfterProbability);
   SetNumber("cut", this->TruncateProbability);
   SetNumber("wrong_id", this->WrongIdProbability);
+  SetNumber("rate_limit", this->RateLimit);
+  SetNumber("retry_after", this->RetryAfter);
   this->DownMs = static_cast<int>(Request.number("down_ms", this->DownMs));
   this->ColdMs = static_cast<int>(Request.number("cold_ms", this->ColdMs));
   SetFlag("leaving", this->Leaving);
--- a/tests/standin/target_behaviour.h
+++ b/tests/standin/target_behaviour.h
@@ -22,6 +22,10 @@
   std::atomic<int> DownMs{500};     ///< Time from a crash to the restart.
   std::atomic<int> ColdMs{0};       ///< Time after a start with higher costs.
   std::atomic<bool> Leaving{false}; ///< Announces that the target drains.
+  /// Requests per second that it states to accept; 0 states no limit.
+  std::atomic<double> RateLimit{0};
+  /// Retry-After of a shed request in seconds; 0 for none.
+  std::atomic<double> RetryAfter{0};
   std::atomic<bool> FailHealthChecks{false}; ///< Status 500 for health checks.
   std::atomic<bool> ReportZeroLoad{false};   ///< Reports no requests in flight.
 
--- a/tests/standin/target_main.cpp
+++ b/tests/standin/target_main.cpp
@@ -6,7 +6,8 @@
 ///   GET  /ledger    number of runs by work id
 ///   POST /clear     empties the ledger
 ///   GET  /stats     array of one object per target
-///   GET  /work?target=N  start times of work; clears them
+///   GET  /work?target=N      start times of work; clears them
+///   GET  /arrivals?target=N  the same for all requests that arrived
 #include "net/flag_reader.h"
 #include "standin/target_server.h"
 
@@ -68,6 +69,11 @@
     const auto Selected = selectTargets(AllTargets, Request);
     return {200, Selected.empty() ? "[]" : Selected.front()->takeWorkTimes()};
   }
+  if (Request.Path == "/arrivals") {
+    const auto Selected = selectTargets(AllTargets, Request);
+    return {200,
+            Selected.empty() ? "[]" : Selected.front()->takeArrivalTimes()};
+  }
   if (Request.Path == "/behave") {
     for (TargetServer *Target : selectTargets(AllTargets, Request))
       Target->behaviour().update(Request);
--- a/tests/standin/target_server.cpp
+++ b/tests/standin/target_server.cpp
@@ -82,15 +82,6 @@
          Field("in_flight", this->InFlight.load()) + "}";
 }
 
-std::string TargetServer::takeWorkTimes() {
-  const std::lock_guard<std::mutex> Guard(this->WorkTimesLock);
-  std::string Text = "[";
-  for (const std::int64_t Time : this->WorkTimes)
-    Text += (Text.size() > 1 ? "," : "") + std::to_string(Time);
-  this->WorkTimes.clear();
-  return Text + "]";
-}
-
 bool TargetServer::draw(const std::atomic<double> &Probability) {
   const double Value = Probability.load();
   if (Value <= 0)
@@ -200,6 +191,9 @@
   } else {
     Head.setKeepAlive(true);
   }
+  if (this->Behaviour.RateLimit > 0)
+    Head.set("Siskinstage-Rate-Limit",
+             std::to_string(this->Behaviour.RateLimit));
   const std::uint32_t ReportedLoad =
       this->Behaviour.ReportZeroLoad ? 0 : this->InFlight.load();
   Head.set("Siskinstage-In-Flight", std::to_string(ReportedLoad));
@@ -216,10 +210,13 @@
   Response.set("Siskinstage-Outcome", "not-run");
   Response.set("Siskinstage-Request-Id",
                Request.Head.get("Siskinstage-Request-Id", ""));
+  if (this->Behaviour.RetryAfter > 0)
+    Response.set("Retry-After", std::to_string(this->Behaviour.RetryAfter));
   return this->send(Peer, Response, "busy\n");
 }
 
 bool TargetServer::serveWork(TcpConnection &Peer, WorkRequest &Request) {
+  this->ArrivalTimes.add(nowMs());
   const InFlightGuard Guard(this->InFlight);
   const bool Busy = Guard.countAtStart() > this->Slots;
   if (Busy || this->draw(this->Behaviour.ShedProbability))
@@ -259,10 +256,7 @@
     return this->shed(Peer, Request);
   ++this->Counts.Requests;
   this->Counts.LastWorkMs = nowMs();
-  {
-    const std::lock_guard<std::mutex> Guard(this->WorkTimesLock);
-    this->WorkTimes.push_back(nowMs());
-  }
+  this->WorkTimes.add(nowMs());
   this->Ledger.recordRun(Request.WorkId, this->Endpoint);
   if (Request.Head.has(PoisonHeader) ||
       this->draw(this->Behaviour.CrashDuringProbability)) {
--- a/tests/standin/target_server.h
+++ b/tests/standin/target_server.h
@@ -4,6 +4,7 @@
 #include "net/http_io.h"
 #include "standin/target_behaviour.h"
 #include "standin/target_ledger.h"
+#include "standin/time_log.h"
 
 #include <Poco/Net/ServerSocket.h>
 #include <atomic>
@@ -45,7 +46,9 @@
   std::string statsJson() const;
   /// Returns the start times of work as a JSON array, in milliseconds on the
   /// boot clock, and clears them.
-  std::string takeWorkTimes();
+  std::string takeWorkTimes() { return this->WorkTimes.take(); }
+  /// The same for all requests that arrived, including those that were shed.
+  std::string takeArrivalTimes() { return this->ArrivalTimes.take(); }
   /// Starts or ends draining, and resets WorkWhileLeaving.
   void setLeaving(bool Leaving);
 
@@ -56,8 +59,8 @@
   TargetLedger &Ledger;
   TargetBehaviour Behaviour;
   Stats Counts;
-  std::mutex WorkTimesLock;
-  std::vector<std::int64_t> WorkTimes;
+  TimeLog WorkTimes;
+  TimeLog ArrivalTimes;
   std::atomic<std::uint32_t> InFlight{0};
   std::atomic<std::uint32_t> Connections{0};
   /// Incremented at each crash; connections of an earlier generation are
--- a/tests/unit/rate_limit_replay.h
+++ b/tests/unit/rate_limit_replay.h
@@ -25,7 +25,10 @@
   int Targets = 8;
   double Limit = 1;           ///< Of the first target, per second.
   double RequestsPerNode = 4; ///< Per second.
-  int DomainsWithCallers = 4;
+  int DomainsWithCallers = 4; ///< The first ones.
+  int LimitedDomain = 0;      ///< Of the first target.
+  /// Slots of all targets together, relative to what the load keeps in use.
+  double SlotFactor = 2;
   double Loss = 0;          ///< Fraction of the messages between nodes.
   double Late = 0;          ///< Fraction that arrives up to three seconds late.
   int Restarts = 0;         ///< Nodes that are killed and start again.
@@ -48,7 +51,7 @@
 
 /// Divides a limit; the default is that of the nodes.
 using Division = std::function<RateShare(double, const ServingGroup &,
-                                         const TargetSpec &, Instant)>;
+                                         const TargetSpec &, const Address &)>;
 
 class RateLimitReplay {
 public:
@@ -56,19 +59,20 @@
       : Load(Load), Divide(std::move(Divide)), Rng(Load.Seed) {
     if (!this->Divide)
       this->Divide = [](double Limit, const ServingGroup &Group,
-                        const TargetSpec &Target,
-                        Instant) { return rateShare(Limit, Group, Target); };
+                        const TargetSpec &Target, const Address &Holder) {
+        return rateShare(Limit, Group, Target, Holder);
+      };
     for (int I = 0; I < Load.Targets; ++I) {
       TargetSpec Spec;
       Spec.Id = TargetId("t" + std::to_string(I));
-      Spec.Domain = domainName(I);
+      Spec.Domain = domainName(I == 0 ? Load.LimitedDomain : I);
       this->Specs.push_back(Spec);
     }
-    this->Slots =
-        3 +
-        static_cast<std::uint32_t>(std::ceil(
-            (Load.Limit + Load.RequestsPerNode * Load.Nodes / Load.Targets) *
-            WorkSeconds * 2));
+    const double InUse = Load.RequestsPerNode * Load.Nodes *
+                         Load.DomainsWithCallers / Load.Domains * WorkSeconds;
+    this->Slots = 1 + static_cast<std::uint32_t>(
+                          std::ceil(InUse * Load.SlotFactor / Load.Targets));
+    this->TotalInFlight.resize(this->Specs.size());
     for (int I = 0; I < Load.Nodes; ++I)
       this->Members.push_back({NodeId("n" + std::to_string(I)),
                                Address("10.0.0." + std::to_string(I) + ":1"),
@@ -135,7 +139,7 @@
   double Now = 0;
   std::vector<Arrival> AtLimited;
   RateLimitResult Result;
-  int InFlightAtLimited = 0;
+  std::vector<std::uint32_t> TotalInFlight; ///< By target.
   UsualLatency Usual{std::chrono::milliseconds(300),
                      std::chrono::milliseconds(400)};
 
@@ -177,6 +181,14 @@
     }
   }
 
+  /// The node with index \p Speaker, as the node with index \p Viewer sees it.
+  RateLimitSource sourceOf(int Viewer, int Speaker) {
+    const Address &Endpoint = this->memberAt(Speaker).Endpoint;
+    return {Endpoint,
+            isInCharge(Endpoint, this->Load.Limit, *this->node(Viewer).Group,
+                       this->Specs.front())};
+  }
+
   void updateShare(NodeState &State) {
     State.Limit.expire(instant(this->Now));
     if (!State.Limit.limited() ||
@@ -185,7 +197,7 @@
     State.LimitGroup = State.Group;
     State.Limit.setShare(this->Divide(State.Limit.state().PerSecond,
                                       *State.Group, this->Specs.front(),
-                                      instant(this->Now)),
+                                      State.Limit.holder()),
                          instant(this->Now));
   }
 
@@ -201,6 +213,7 @@
       PlacementTarget Target;
       Target.Index = static_cast<std::uint32_t>(I);
       Target.InFlight = static_cast<std::uint32_t>(State.Started[I].size());
+      Target.ReportedInFlight = this->TotalInFlight[I];
       Target.Capacity = this->Slots;
       Target.SameDomain = this->Specs[I].Domain == this->memberAt(Index).Domain;
       Target.Started = &State.Started[I];
@@ -225,22 +238,27 @@
   void send(int Index, std::uint32_t Chosen) {
     NodeState &State = this->node(Index);
     const double Sent = this->Now;
-    State.Started[Chosen].push_back(instant(Sent));
+    const bool Shed = this->TotalInFlight[Chosen] >= this->Slots;
     if (Chosen == 0) {
       State.Limit.take(instant(Sent));
       const bool Counts =
           Sent >= State.ToldAt + ToldSeconds && Sent >= State.ExcusedUntil;
       this->AtLimited.push_back({Sent, Counts});
-      ++this->InFlightAtLimited;
       if (Sent > this->Load.StatedUntil && Sent < this->Load.StatedUntil + 1)
         this->Result.BurstAtEnd =
-            std::max(this->Result.BurstAtEnd, this->InFlightAtLimited);
+            std::max(this->Result.BurstAtEnd,
+                     static_cast<int>(this->TotalInFlight[0]) + 1);
+    }
+    if (Shed) {
+      ++this->Result.Unserved;
+      return;
     }
+    State.Started[Chosen].push_back(instant(Sent));
+    ++this->TotalInFlight[Chosen];
     const double Work = WorkSeconds * (0.5 + this->Rng.unit());
     this->schedule(Sent + Work, [this, Index, Chosen, Sent,
                                  Process = State.Process] {
-      if (Chosen == 0)
-        --this->InFlightAtLimited;
+      --this->TotalInFlight[Chosen];
       NodeState &Later = this->node(Index);
       if (!Later.Up || Later.Process != Process)
         return;
@@ -259,7 +277,7 @@
       State.ToldAt = std::min(State.ToldAt, this->Now);
     const auto Tell = State.Limit.hear(
         Stated ? std::optional<double>(this->Load.Limit) : std::nullopt,
-        instant(Sent), instant(this->Now));
+        instant(Sent), this->sourceOf(Index, Index), instant(this->Now));
     if (!Tell)
       return;
     for (int Peer = 0; Peer < this->Load.Nodes; ++Peer) {
@@ -270,10 +288,11 @@
         continue;
       const bool Late = this->Rng.unit() < this->Load.Late;
       const double Delay = 0.002 + this->Rng.unit() * (Late ? 3 : 0.01);
-      this->schedule(this->Now + Delay, [this, Peer, News = *Tell] {
+      this->schedule(this->Now + Delay, [this, Peer, Index, News = *Tell] {
         NodeState &Receiver = this->node(Peer);
         if (Receiver.Up)
-          Receiver.Limit.adopt(News, instant(this->Now));
+          Receiver.Limit.adopt(News, this->sourceOf(Peer, Index),
+                               instant(this->Now));
       });
     }
   }
--- a/tests/unit/target_notice_test.cpp
+++ b/tests/unit/target_notice_test.cpp
@@ -9,6 +9,7 @@
 using namespace std::chrono_literals;
 
 const Instant Start{1000s};
+const RateLimitSource Own = {Address("10.0.0.1:80"), true};
 /// Sun, 06 Nov 1994 08:49:37 GMT.
 constexpr std::uint64_t WallMs = 784111777000;
 
@@ -86,8 +87,8 @@
 TEST(TargetNotices, ATargetIsLeftAloneAsLongAsItAsks) {
   TargetNotices Notices;
   EXPECT_TRUE(Notices.allows(Start));
-  EXPECT_TRUE(
-      Notices.hear(only(BackOffNotice{4s}), Start, true, Start).BackOffStarted);
+  EXPECT_TRUE(Notices.hear(only(BackOffNotice{4s}), Start, Own, true, Start)
+                  .BackOffStarted);
   EXPECT_FALSE(Notices.allows(Start + 3999ms));
   EXPECT_TRUE(Notices.restricts(Start + 3999ms));
   EXPECT_TRUE(Notices.allows(Start + 4s));
@@ -96,28 +97,30 @@
 
 TEST(TargetNotices, AShorterTimeDoesNotEndALongerOne) {
   TargetNotices Notices;
-  Notices.hear(only(BackOffNotice{4s}), Start, true, Start);
-  EXPECT_FALSE(Notices.hear(only(BackOffNotice{1s}), Start, true, Start + 1s)
-                   .BackOffStarted);
+  Notices.hear(only(BackOffNotice{4s}), Start, Own, true, Start);
+  EXPECT_FALSE(
+      Notices.hear(only(BackOffNotice{1s}), Start, Own, true, Start + 1s)
+          .BackOffStarted);
   EXPECT_FALSE(Notices.allows(Start + 3s));
 }
 
 TEST(TargetNotices, ARejectionDoesNotEndALimit) {
   TargetNotices Notices;
-  Notices.hear(only(RateLimitNotice{1}), Start, false, Start);
+  Notices.hear(only(RateLimitNotice{1}), Start, Own, false, Start);
   for (int I = 0; I < 5; ++I)
-    Notices.hear({}, Start + 1s, true, Start + 2s);
+    Notices.hear({}, Start + 1s, Own, true, Start + 2s);
   EXPECT_TRUE(Notices.rateLimit().limited());
 }
 
 TEST(TargetNotices, AnInvalidLimitNeitherEndsNorStartsOne) {
   const StatedNotices Invalid = readNotices({{"few"}, {}, false}, 200, WallMs);
   TargetNotices Notices;
-  Notices.hear(only(RateLimitNotice{1}), Start, false, Start);
-  EXPECT_TRUE(Notices.hear(Invalid, Start + 1s, false, Start + 2s).FirstFault);
+  Notices.hear(only(RateLimitNotice{1}), Start, Own, false, Start);
+  EXPECT_TRUE(
+      Notices.hear(Invalid, Start + 1s, Own, false, Start + 2s).FirstFault);
   for (int I = 0; I < 5; ++I)
     EXPECT_FALSE(
-        Notices.hear(Invalid, Start + 1s, false, Start + 2s).FirstFault);
+        Notices.hear(Invalid, Start + 1s, Own, false, Start + 2s).FirstFault);
   EXPECT_TRUE(Notices.rateLimit().limited());
 }
 
