Soak and property test of what targets state

The fault soak lets servers state a limit, a Retry-After or that they leave, and restarts servers, beside kills, stops, freezes, drains and a faulty store; it checks the three rules with the users' excuses (restart, freeze). Two first findings were faults of the check, traced by their kinds: a server registered with another start time is a new process, which owes nothing.

--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -156,10 +156,12 @@
         self.zone = zone
         self.address = ("127.0.3.1", 18700 + index)
         self.work_s = 0.02
+        self.born = 1700000000000  # start of its process, in milliseconds
         # normal, hang, shed, unsealed, error, reset, encoded, cut or busy
         self.behaviour = "normal"
         self.sends_second_response = False
         self.notices = {}  # headers of all responses, by name
+        self.stated = []   # (time, attempt id, status, notices) of responses
         self.runs = []  # (attempt id, method, path, body) of each run
         self.headers = []
         self.arrivals = 0
@@ -191,7 +193,7 @@
     def entry(self, state="ready", **changes):
         """The entry of the server in the store."""
         entry = {"address": f"{self.address[0]}:{self.address[1]}",
-                 "born": 1700000000000,
+                 "born": self.born,
                  "details": {"service": self.service, "version": "v1",
                              "zone": self.zone, "slots": 3},
                  "status": {"state": state, "seq": 4, "warmup-left-s": 0}}
@@ -246,6 +248,9 @@
 
     def reply(self, call, status, attempt, headers, content_length=None):
         body = f"from {self.id}".encode()
+        if self.notices:
+            self.stated.append((time.monotonic(), attempt, status,
+                                dict(self.notices)))
         call.send_response(status)
         call.send_header("Attempt-Id", attempt)
         for name, value in {**self.notices, **headers}.items():
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -11,6 +11,7 @@
 import time
 
 from fleet import wait_for
+from notice_checks import NoticeLog
 from platform_fleet import PlatformFleet, route
 
 STEP_S = 0.7          # between two faults, which last longer
@@ -33,6 +34,7 @@
         self.routes = {"r1": route("/reads/", "reads"),
                        "r2": route("/orders/", "orders", "unsafe", 2)}
         self.frozen = set()
+        self.notices = NoticeLog()
 
     # Callers -----------------------------------------------------------------
 
@@ -44,34 +46,42 @@
             attempt = f"soak-{number}-{count}"
             unsafe = rng.random() < 0.6
             path = f"/orders/{count}" if unsafe else f"/reads/{count}"
+            node = rng.choice(self.fleet.nodes)
+            self.notices.sent[attempt] = (node, time.monotonic())
             try:
                 status, headers, body = self.fleet.request(
-                    path, rng.choice(self.fleet.nodes),
-                    "POST" if unsafe else "GET", b"lot" if unsafe else None,
-                    3000, attempt)
+                    path, node, "POST" if unsafe else "GET",
+                    b"lot" if unsafe else None, 3000, attempt)
             except (OSError, http.client.HTTPException):
                 continue  # Without a response, the outcome is unknown.
             with self.lock:
                 self.responses.append((attempt, path, status, headers, body))
+                if body.startswith("from "):
+                    self.notices.passed.append(
+                        (time.monotonic(), node, body[len("from "):]))
 
     # Faults ------------------------------------------------------------------
 
     def restart(self, node, signal_number):
+        self.notices.disturb(node, time.monotonic())
         self.fleet.signal(node, signal_number)
 
         def start_after_exit():
             self.fleet.processes[node].wait()
             if not self.stopping.is_set():
                 self.fleet.start(node)
+                self.notices.undisturb(node, time.monotonic())
         threading.Thread(target=start_after_exit, daemon=True).start()
 
     def freeze(self, node):
+        self.notices.disturb(node, time.monotonic())
         self.fleet.signal(node, signal.SIGSTOP)
         self.frozen.add(node)
 
     def resume_all(self):
         for node in self.frozen:
             self.fleet.signal(node, signal.SIGCONT)
+            self.notices.undisturb(node, time.monotonic())
         self.frozen.clear()
 
     def alive(self):
@@ -83,12 +93,31 @@
         self.routes[f"r{number + 1}"] = route(f"/more{number}/", "reads")
         self.fleet.configure(self.routes)
 
+    def state_notice(self, server, kind):
+        """Lets the server state a limit, a Retry-After or that it leaves."""
+        now = time.monotonic()
+        if kind == "limit":
+            self.notices.begin(server, "Server-Limit",
+                               self.rng.choice((0.5, 1, 4)), now)
+        elif kind == "alone":
+            self.notices.begin(server, "Retry-After", 3, now)
+            server.behaviour = "shed"
+        else:
+            self.notices.begin(server, "Server-Leaving", 1, now)
+
+    def restart_server(self, server):
+        """Lets the server start again under its id, and state nothing."""
+        self.notices.restart(server, time.monotonic())
+        server.born += 1
+        self.fleet.register(server)
+
     def inject_fault(self):
         server = self.rng.choice(self.fleet.servers)
         node = self.rng.choice(self.alive() or self.fleet.nodes)
         kind = self.rng.choice((
             "kill", "term", "hup", "freeze", "wake", "behave", "behave",
-            "extra", "drain", "back", "store", "refuse", "compact", "route"))
+            "extra", "drain", "back", "store", "refuse", "compact", "route",
+            "limit", "limit", "alone", "leave", "restart"))
         if kind == "kill":
             self.restart(node, signal.SIGKILL)
         elif kind == "term":
@@ -103,6 +132,10 @@
             server.behaviour = self.rng.choice(BEHAVIOURS)
         elif kind == "extra":
             server.sends_second_response = not server.sends_second_response
+        elif kind in ("limit", "alone", "leave"):
+            self.state_notice(server, kind)
+        elif kind == "restart":
+            self.restart_server(server)
         elif kind in ("drain", "back"):
             state = "draining" if kind == "drain" else "ready"
             self.fleet.register(server, state=state)
@@ -125,7 +158,7 @@
         for server in self.fleet.servers:
             server.behaviour = "normal"
             server.sends_second_response = False
-            self.fleet.register(server)
+            self.restart_server(server)
 
     # Checks ------------------------------------------------------------------
 
@@ -144,6 +177,7 @@
                 if server.service != service:
                     self.violations.append(
                         f"{path} ran at {server.id}, which does not serve it")
+        self.violations += self.notices.violations()
         for response in self.responses:
             self.check_response(runs_by_attempt.get(response[0], []), *response)
 
