--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -142,13 +142,16 @@
 void Metrics::setKeyCount(double Count) { this->KeyCount.Set(Count); }
 
 void Metrics::setTargetCounts(const std::string &Service, double Admitted,
-                              double Suspected, double Idle) {
+                              double Suspected, double Idle, double Limited,
+                              double LeftAlone) {
   const auto Set = [&](const char *State, double Count) {
     this->TargetCounts.Add({{"service", Service}, {"which", State}}).Set(Count);
   };
   Set("admitted", Admitted);
   Set("doubted", Suspected);
   Set("idle", Idle);
+  Set("limited", Limited);
+  Set("left_alone", LeftAlone);
 }
 
 std::string Metrics::text() const {
--- a/src/node/metrics.h
+++ b/src/node/metrics.h
@@ -47,7 +47,8 @@
   /// \param Idle those of them to which this node has sent no request for
   ///        config::IdleThreshold.
   void setTargetCounts(const std::string &Service, double Admitted,
-                       double Suspected, double Idle);
+                       double Suspected, double Idle, double Limited,
+                       double LeftAlone);
 
   /// All metrics in the Prometheus text format.
   [[nodiscard]] std::string text() const;
--- a/src/node/operator_pages.cpp
+++ b/src/node/operator_pages.cpp
@@ -43,7 +43,7 @@
       [&](const ServiceName &Name, const auto &Service) {
         const ServiceGate::Coverage Counts = Service->Gate->coverage(*Service);
         Values.setTargetCounts(Name.str(), Counts.Admitted, Counts.Suspected,
-                               Counts.Idle);
+                               Counts.Idle, Counts.Limited, Counts.LeftAlone);
       });
   return {200, "text/plain; version=0.0.4", Values.text()};
 }
--- a/src/node/service_gate.cpp
+++ b/src/node/service_gate.cpp
@@ -237,6 +237,9 @@
         Target.Gauge->Gray.probability(Now) >= config::GrayThreshold ? 1 : 0;
     Counts.Idle +=
         Now - Target.Gauge->LastPlaced >= config::IdleThreshold ? 1 : 0;
+    const TargetNotices &Notices = Target.Gauge->Notices;
+    Counts.Limited += Notices.rateLimit().limited() ? 1 : 0;
+    Counts.LeftAlone += Notices.backOffLeft(Now) > Duration::zero() ? 1 : 0;
   }
   return Counts;
 }
--- a/src/node/service_gate.h
+++ b/src/node/service_gate.h
@@ -70,7 +70,9 @@
   struct Coverage {
     std::uint32_t Admitted = 0;
     std::uint32_t Suspected = 0; ///< Suspected of a gray failure.
-    std::uint32_t Idle = 0; ///< Without a request for config::IdleThreshold.
+    std::uint32_t Idle = 0;    ///< Without a request for config::IdleThreshold.
+    std::uint32_t Limited = 0; ///< With a rate limit.
+    std::uint32_t LeftAlone = 0; ///< That want no request for a time.
   };
 
   /// What a target states, as this node knows it.
--- a/tests/platform/platform_load.py
+++ b/tests/platform/platform_load.py
@@ -26,7 +26,7 @@
         self.fleet = fleet
         self.path = path
         self.method = method
-        self.results = []  # (time, node, status, headers)
+        self.results = []  # (node, status, headers, seconds taken)
         self.first_response = {}  # by node and server id
         self.nodes_by_attempt = {}
         self.sent = {}  # time.monotonic() by attempt
@@ -42,7 +42,7 @@
         status, headers, text = self.fleet.request(
             f"{self.path}{number}", node, self.method, body, attempt=attempt)
         now = time.monotonic()
-        self.results.append((now, node, status, headers))
+        self.results.append((node, status, headers, now - self.sent[attempt]))
         if text.startswith("from "):
             self.first_response.setdefault((node, text[len("from "):]), now)
 
@@ -68,7 +68,7 @@
         return times
 
     def served_share(self):
-        statuses = [status for _, _, status, _ in self.results]
+        statuses = [status for _, status, _, _ in self.results]
         return statuses.count(200) / max(1, len(statuses))
 
     def worst_window(self, server, stated_at):
