--- a/bench/rate_division.cpp
+++ b/bench/rate_division.cpp
@@ -16,11 +16,21 @@
 
 constexpr std::uint64_t Seeds = 5;
 
-/// The same share for each node, with room for one request.
+/// A share with room for one request, and the node's turn while nothing is
+/// heard.
+RateShare shareOf(double PerSecond, const ServingGroup &Group) {
+  const auto Own = std::find_if(
+      Group.Nodes.begin(), Group.Nodes.end(),
+      [&](const SteeringNode &Node) { return Node.Endpoint == Group.Self; });
+  return {PerSecond, 1, static_cast<std::uint32_t>(Own - Group.Nodes.begin()),
+          static_cast<std::uint32_t>(Group.Nodes.size())};
+}
+
+/// The same share for each node.
 RateShare equalShare(double Limit, const ServingGroup &Group,
                      const TargetSpec & /*Target*/,
                      const Address & /*Holder*/) {
-  return {Limit / static_cast<double>(Group.Nodes.size()), 1};
+  return shareOf(Limit / static_cast<double>(Group.Nodes.size()), Group);
 }
 
 /// Shares that follow the demand of each node, which is known at once: the
@@ -36,8 +46,8 @@
         std::count_if(Group.Nodes.begin(), Group.Nodes.end(), HasCallers);
     for (const SteeringNode &Node : Group.Nodes)
       if (Node.Endpoint == Group.Self && HasCallers(Node))
-        return {Limit / static_cast<double>(Busy), 1};
-    return {};
+        return shareOf(Limit / static_cast<double>(Busy), Group);
+    return shareOf(0, Group);
   };
 }
 
--- a/src/node/prober.h
+++ b/src/node/prober.h
@@ -6,7 +6,7 @@
 
 namespace Poco::Net {
 class HTTPResponse;
-}
+} // namespace Poco::Net
 
 namespace siskinstage {
 
