Weigh the nodes in charge only for responses that state a limit

What callers saw: nothing; found by reading. Each response of a target without a limit ranked all serving nodes, with a hash and a copied address for each, under the lock of the service. The rank is needed only if the response states a limit. The lookup of a notice stands once, in StatedNotices.

--- a/src/core/rate_limit.h
+++ b/src/core/rate_limit.h
@@ -28,9 +28,9 @@
 /// The rate limit of one target as one node knows it, and a token bucket with
 /// the node's share of it. While nothing is heard of the limit, since the nodes
 /// in charge have no requests or get no responses, the serving nodes take turns
-/// instead, and the first one that gets a response takes over the limit. After
-/// the limit has ended, the target's share of the load grows slowly to its
-/// usual one.
+/// instead, and the first one that gets a response takes over a part of the
+/// limit. After the limit has ended, the target's share of the load grows
+/// slowly to its usual one.
 class RateLimit {
 public:
   /// Adds a response of the target. The limit ends with
--- a/src/core/rate_share.cpp
+++ b/src/core/rate_share.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 /// Order of the serving nodes for being in charge of a target, highest first.
-std::tuple<bool, std::uint64_t, Address> precedence(const SteeringNode &Node,
-                                                    const TargetSpec &Target) {
+std::tuple<bool, std::uint64_t, const Address &>
+precedence(const SteeringNode &Node, const TargetSpec &Target) {
   return {Node.Domain == Target.Domain,
           rendezvousWeight(Target.Id.str(), Node.Id.str()), Node.Endpoint};
 }
--- a/src/core/target_notice.h
+++ b/src/core/target_notice.h
@@ -41,6 +41,14 @@
   std::vector<std::string> Faults;
   /// The response says that there is no rate limit.
   bool NoRateLimit = true;
+
+  /// The first notice of type T, or null.
+  template <typename T> [[nodiscard]] const T *find() const {
+    for (const TargetNotice &Item : this->Items)
+      if (const auto *Found = std::get_if<T>(&Item))
+        return Found;
+    return nullptr;
+  }
 };
 
 /// Reads the notices of a response.
--- a/src/core/target_notices.cpp
+++ b/src/core/target_notices.cpp
@@ -5,34 +5,22 @@
 
 namespace siskinstage {
 
-namespace {
-
-template <typename T>
-const T *findNotice(const std::vector<TargetNotice> &Items) {
-  for (const TargetNotice &Item : Items)
-    if (const auto *Found = std::get_if<T>(&Item))
-      return Found;
-  return nullptr;
-}
-
-} // namespace
-
 TargetNotices::Effect TargetNotices::hear(const StatedNotices &Stated,
                                           Instant Sent,
                                           const RateLimitSource &Self,
                                           bool NotRun, Instant Now) {
   Effect Result;
   const RateLimitState Before = this->Limit.state();
-  if (const auto *Rate = findNotice<RateLimitNotice>(Stated.Items))
+  if (const auto *Rate = Stated.find<RateLimitNotice>())
     Result.Tell = this->Limit.hear(Rate->PerSecond, Sent, Self, Now);
   else if (Stated.NoRateLimit && !NotRun)
     Result.Tell = this->Limit.hear(std::nullopt, Sent, Self, Now);
   Result.RateLimitChanged = this->Limit.state() != Before;
-  if (const auto *BackOff = findNotice<BackOffNotice>(Stated.Items)) {
+  if (const auto *BackOff = Stated.find<BackOffNotice>()) {
     Result.BackOffStarted = Now >= this->BackOffEnd;
     this->BackOffEnd = std::max(this->BackOffEnd, Now + BackOff->Length);
   }
-  Result.Leaving = findNotice<LeavingNotice>(Stated.Items) != nullptr;
+  Result.Leaving = Stated.find<LeavingNotice>() != nullptr;
   if (!Stated.Faults.empty())
     Result.FirstFault = !std::exchange(this->FaultSeen, true);
   return Result;
--- a/src/node/notice_fields.cpp
+++ b/src/node/notice_fields.cpp
@@ -3,7 +3,6 @@
 #include "net/wall_clock.h"
 
 #include <algorithm>
-#include <variant>
 
 namespace siskinstage {
 
@@ -23,11 +22,4 @@
       Head.getStatus(), wallClockMs());
 }
 
-bool statesLeaving(const StatedNotices &Stated) {
-  return std::any_of(Stated.Items.begin(), Stated.Items.end(),
-                     [](const TargetNotice &Notice) {
-                       return std::holds_alternative<LeavingNotice>(Notice);
-                     });
-}
-
 } // namespace siskinstage
--- a/src/node/notice_fields.h
+++ b/src/node/notice_fields.h
@@ -13,9 +13,6 @@
 StatedNotices statedNotices(const Dialect &Headers,
                             const Poco::Net::HTTPResponse &Head);
 
-/// Whether \p Stated says that the target leaves.
-bool statesLeaving(const StatedNotices &Stated);
-
 } // namespace siskinstage
 
 #endif // SISKINSTAGE_NODE_NOTICE_FIELDS_H
--- a/src/node/service_gate.cpp
+++ b/src/node/service_gate.cpp
@@ -184,9 +184,10 @@
                                                Instant Sent, bool NotRun) {
   const Instant Now = bootNow();
   const std::lock_guard<std::mutex> Guard(this->Lock);
-  const Address Self = View.Group ? View.Group->Self : Address();
-  auto Made = Target.Gauge->Notices.hear(
-      Stated, Sent, rateLimitSource(View, Target, Self), NotRun, Now);
+  RateLimitSource Self;
+  if (Stated.find<RateLimitNotice>() != nullptr && View.Group)
+    Self = rateLimitSource(View, Target, View.Group->Self);
+  auto Made = Target.Gauge->Notices.hear(Stated, Sent, Self, NotRun, Now);
   updateNotices(View, Target, Now);
   return Made;
 }
--- a/src/node/target_exchange.cpp
+++ b/src/node/target_exchange.cpp
@@ -282,7 +282,8 @@
         (Headers.StatusImpliesNotRun && this->Head.getStatus() == 421);
   this->readLoad();
   this->Notices = statedNotices(Headers, this->Head);
-  this->Reusable = !wantsClose(this->Head) && !statesLeaving(this->Notices);
+  this->Reusable =
+      !wantsClose(this->Head) && this->Notices.find<LeavingNotice>() == nullptr;
   const std::string Length = this->Head.get("Content-Length", "");
   dropHopHeaders(this->Head);
   this->Head.erase("Content-Length");
