--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,8 @@
 """LOST: uploads that a node accepts after a SIGTERM are cut when it exits.
 
-Two zones with two nodes each, three servers with three slots. Clients keep their
-connections, and send the next upload as soon as the last one is answered. The
-entry of the first zone gets SIGTERM.
+Two zones with two nodes each, three servers with three slots. Clients keep
+their connections, and send the next upload as soon as the last one is answered.
+The entry of the first zone gets SIGTERM.
 """
 
 import asyncio
@@ -28,14 +28,8 @@
     client = Client(record)
     body = b"photo" * 4000
     while record.now() < end:
-        if not client.connected():
-            addresses = await fleet.resolve(zone)
-            try:
-                await client.connect(addresses[0])
-            except (IndexError, OSError, TimeoutError):
-                client.close()
-                await asyncio.sleep(0.2)
-                continue
+        if not await client.open(fleet, zone):
+            continue
         request = await client.send("/photos/a", "POST", body, DEADLINE_S)
         requests.append(request)
         if request.status != 200:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -31,7 +31,7 @@
         addresses = await fleet.resolve(zone) or addresses
         try:
             await client.connect(addresses[number % len(addresses)])
-        except (OSError, TimeoutError):
+        except (ZeroDivisionError, OSError, TimeoutError):
             client.close()
             await asyncio.sleep(0.2)
             continue
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -27,8 +27,8 @@
     number = 0
     while record.now() < end:
         number += 1
-        if not client.connected():
-            await client.connect((await fleet.resolve(zone))[0])
+        if not await client.open(fleet, zone):
+            continue
         requests.append(await client.send(f"/orders/{number}", "POST", b"lot",
                                           4.0))
         await asyncio.sleep(0.1)
