--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,12 +1,13 @@
 """LOST: uploads that a node accepts after a SIGTERM are cut when it exits.
 
-Two zones with two nodes each, three servers with three slots. Clients keep
-their connections, and send the next upload as soon as the last one is answered.
-The entry of the first zone gets SIGTERM.
+Two zones with two nodes each, twelve servers with three slots, which are more
+than are needed. Clients keep their connections, and send a large photo slowly
+and a small one at once by turns. The entry of the first zone gets SIGTERM.
 """
 
 import asyncio
 import pathlib
+import random
 import signal
 import sys
 
@@ -17,20 +18,29 @@
 
 WORK_S = 1.7      # within the sheet's longest work of an upload, 1.8 s
 DEADLINE_S = 6.0  # of an upload, as on the sheet
-CLIENTS = 16      # in each zone
-TERM_AT_S = 8.0
-LENGTH_S = 22.0
+LARGE = b"p" * 352_000  # within the sheet's largest upload, 360,000 bytes
+PIECES = 32       # of a large upload, which takes 3.1 s to send
+PAUSE_S = 0.1
+SMALL = b"p" * 20_000
+SERVERS = 12
+CLIENTS = 30      # in each zone
+TERM_AT_S = 12.0
+LENGTH_S = 24.0
 GRACE_S = BOUNDS["grace-s"]
 
 
 async def upload(fleet, record, zone, end, requests):
     """One client: keeps its connection while the node does."""
     client = Client(record)
-    body = b"photo" * 4000
+    large = False
+    await asyncio.sleep(random.random() * 6)
     while record.now() < end:
         if not await client.open(fleet, zone):
             continue
-        request = await client.send("/photos/a", "POST", body, DEADLINE_S)
+        large = not large
+        request = await client.send(
+            "/photos/a", "POST", LARGE if large else SMALL, DEADLINE_S,
+            pieces=PIECES if large else 1, pause_s=PAUSE_S)
         requests.append(request)
         if request.status != 200:
             wait = float(request.headers.get("retry-after", 0.2))
@@ -46,7 +56,9 @@
             continue
         if not term <= request.ended <= term + GRACE_S + 1:
             continue  # Not around the planned work.
-        if request.ended - request.sent >= DEADLINE_S - 0.2:
+        if not request.whole:
+            continue  # No process has read a whole request.
+        if request.ended - request.began >= DEADLINE_S - 0.2:
             continue  # The deadline was reached.
         runs = [(s.run_start[request.attempt],
                  s.run_end.get(request.attempt, float("inf")))
@@ -67,7 +79,7 @@
 async def case(record, trouble):
     fleet = Fleet(record)
     try:
-        for _ in range(3):
+        for _ in range(SERVERS):
             fleet.add_server("fotos", work_s=WORK_S)
         await fleet.start({"r-photos": route("/photos/", "fotos", "upload", 6)})
         start = record.now()
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -578,7 +578,9 @@
     def __init__(self, attempt, address, sent):
         self.attempt = attempt
         self.address = address
+        self.began = sent       # time of the first byte
         self.sent = sent        # time of the last byte
+        self.whole = False      # the last byte has been sent
         self.ended = None       # time of the end of the answer or connection
         self.status = None      # None: no complete answer
         self.headers = {}
@@ -652,6 +654,7 @@
                     if pause_s and first + step < len(data):
                         await asyncio.sleep(pause_s)
                 request.sent = self.record.now()
+                request.whole = True
                 self.record.write(f"sent {attempt} {method} {path} "
                                   f"to {self.address}")
                 first, request.headers = await read_head(self.reader)
