A planned stop starts no request that its exit would cut

Cause: the drain had no limit for the start of work. A request was passed on at any time until the exit, and whether its connection closes after the response was decided when the request began.

Ruled out: an exit that is merely too early; a later one moves the time.

Change: DrainSchedule. From 3 s after the signal on, at most half of the shutdown limit, a request is sent to a target only if its deadline ends before the exit. The limit holds for the head, the body, the wait for a slot and each retry. Other requests are rejected at once as not run. The response closes its connection if the node drains when it is written.

--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -408,9 +408,17 @@
 // Shutdown.
 /// How long new connections are accepted while draining.
 inline constexpr std::chrono::milliseconds AcceptLingerTime = 500ms;
+/// A draining node sends requests to targets for this long, at most for half of
+/// its shutdown limit; after that, only those that end before the process
+/// exits.
+inline constexpr std::chrono::milliseconds DrainServeTime = 3s;
+/// A request that ends this long before the exit still gets its response.
+inline constexpr std::chrono::milliseconds DrainExitMargin = 100ms;
+/// How often the read of a body checks whether the node drains.
+inline constexpr std::chrono::milliseconds DrainCheckPeriod = 250ms;
 /// Idle connections are kept open for at least this long after draining starts,
-/// for one more request each, which must end before the process exits.
-inline constexpr std::chrono::milliseconds DrainIdleLimit = 3s;
+/// for one more request each.
+inline constexpr std::chrono::milliseconds DrainIdleLimit = DrainServeTime;
 /// They are also kept open for at least this long after they were accepted or
 /// last used.
 inline constexpr std::chrono::milliseconds DrainQuietTime = 300ms;
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -51,6 +51,8 @@
     return {Step::Queue, Service, "what the targets state leaves no room"};
   case ServiceGate::Refusal::NoService:
     return {Step::Route, Service, "the service is not configured"};
+  case ServiceGate::Refusal::Draining:
+    return {Step::Queue, Service, "the node is shutting down"};
   }
   return {Step::Queue, Service, "refused"};
 }
@@ -90,8 +92,12 @@
 PlacementParams Dispatcher::placementParams() const {
   const bool Large =
       this->Params.Body->replayBuffer().size() > config::LargeBodyBytes;
-  return {this->Context.NodeSettings.Domain, this->Tried, this->Params.Kind,
-          Large, this->Params.Deadline};
+  return {this->Context.NodeSettings.Domain,
+          this->Tried,
+          this->Params.Kind,
+          Large,
+          this->Params.Deadline,
+          &this->Context.Drain};
 }
 
 tl::expected<TargetLease, DispatchResult> Dispatcher::acquireTarget() {
--- a/src/node/gossip_loop.cpp
+++ b/src/node/gossip_loop.cpp
@@ -81,7 +81,7 @@
     this->executeCommands();
     const Instant Now = bootNow();
     this->send(this->Members.tick(Now));
-    if (this->Context.Draining.load() && !this->LeaveSent) {
+    if (this->Context.Drain.active() && !this->LeaveSent) {
       this->LeaveSent = true;
       this->send(this->Members.leave(Now));
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -131,13 +131,14 @@
 
 void Node::shutDown() {
   NodeContext &Shared = *this->Context;
-  Shared.Draining.store(true);
+  const Instant Start = bootNow();
+  Shared.Drain.begin(Start, Shared.NodeSettings.ShutdownLimit);
   logEvent(LogLevel::Info, "node is draining");
   this->CallerServer->drain();
   // Connections are accepted a little longer, while members and callers learn
   // that this node leaves. After that, connections are refused, from which
   // callers know that their request was not executed.
-  const Instant Limit = bootNow() + Shared.NodeSettings.ShutdownLimit;
+  const Instant Limit = Start + Shared.NodeSettings.ShutdownLimit;
   Shared.Stop.sleep(Shared.NodeSettings.AcceptLinger);
   this->CallerServer->stopAccepting();
   while (Shared.CallerConnections.Open.load() > 0 && bootNow() < Limit) {
--- a/src/node/node_context.cpp
+++ b/src/node/node_context.cpp
@@ -18,7 +18,7 @@
       Members(std::make_shared<const MembershipView>()) {}
 
 bool NodeContext::ready() const {
-  return !this->Draining.load() && this->Snapshots.get()->Configured;
+  return !this->Drain.active() && this->Snapshots.get()->Configured;
 }
 
 RequestId NodeContext::newRequestId() {
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -6,6 +6,7 @@
 #include "node/account_gate.h"
 #include "node/config_update.h"
 #include "node/connection_counts.h"
+#include "node/drain_state.h"
 #include "node/gossip_command.h"
 #include "node/key_owner.h"
 #include "node/membership_view.h"
@@ -53,7 +54,7 @@
   /// of the boot clock.
   std::atomic<Duration::rep> LastGossip{0};
   StopFlag Stop;
-  std::atomic<bool> Draining{false}; ///< SIGTERM was received.
+  DrainState Drain; ///< Active once SIGTERM was received.
   ConnectionCounts CallerConnections;
   ConnectionCounts ControlConnections;
   std::atomic<std::uint32_t> RequestsInFlight{0};
--- a/src/node/operator_pages.cpp
+++ b/src/node/operator_pages.cpp
@@ -51,7 +51,7 @@
 Page readyPage(NodeContext &Context) {
   if (Context.ready())
     return {200, "text/plain", "ready\n"};
-  const bool Draining = Context.Draining.load();
+  const bool Draining = Context.Drain.active();
   return {503, "text/plain",
           Draining ? "draining\n" : "no configuration yet\n"};
 }
--- a/src/node/request_body.cpp
+++ b/src/node/request_body.cpp
@@ -1,5 +1,6 @@
 #include "node/request_body.h"
 #include "net/boot_time.h"
+#include "node/drain_state.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
@@ -12,9 +13,10 @@
 }
 
 RequestBody::RequestBody(TcpConnection &Caller, const BodyFraming &Framing,
-                         bool ExpectContinue, Instant Deadline)
+                         bool ExpectContinue, Instant Deadline,
+                         const DrainState &Drain)
     : Caller(Caller), Framing(Framing), Reader(Framing),
-      ContinueDue(ExpectContinue), BodyDeadline(Deadline),
+      ContinueDue(ExpectContinue), BodyDeadline(Deadline), Drain(Drain),
       Hash(XXH3_createState()) {
   XXH3_64bits_reset(this->Hash.get());
 }
@@ -27,11 +29,11 @@
   const Instant Now = bootNow();
   // The deadline is checked here too: reads from a caller that always has a few
   // bytes ready don't wait, and so never time out.
-  if (Now >= this->BodyDeadline)
+  const Instant Limit = this->Drain.sendLimit(this->BodyDeadline);
+  if (Now >= Limit)
     return tl::unexpected<ReadFault>(ConnectionFault{
         ConnectionFault::Kind::Timeout, "the body did not come whole in time"});
-  const Instant Deadline =
-      std::min(this->BodyDeadline, Now + config::BodyStallTimeout);
+  const Instant Deadline = std::min(Limit, Now + config::BodyStallTimeout);
   if (this->ContinueDue && this->Caller.buffered().empty()) {
     const auto Written =
         this->Caller.write("HTTP/1.1 100 Continue\r\n\r\n", Deadline);
@@ -40,7 +42,7 @@
   }
   this->ContinueDue = false;
   const std::size_t Before = Into.size();
-  const auto Read = this->Reader.read(this->Caller, Into, Deadline);
+  const auto Read = this->awaitBytes(Into, Deadline);
   if (!Read)
     return Read;
   const std::size_t BytesRead = Into.size() - Before;
@@ -52,6 +54,25 @@
   return {};
 }
 
+ReadResult<void> RequestBody::awaitBytes(std::string &Into,
+                                         Instant StallLimit) {
+  while (true) {
+    // The limit may have moved forward since the last wait.
+    const Instant Limit =
+        std::min(StallLimit, this->Drain.sendLimit(this->BodyDeadline));
+    const auto Read = this->Reader.read(
+        this->Caller, Into,
+        std::min(Limit, bootNow() + config::DrainCheckPeriod));
+    if (Read)
+      return Read;
+    const auto *Fault = std::get_if<ConnectionFault>(&Read.error());
+    const bool TimedOut =
+        Fault != nullptr && Fault->Cause == ConnectionFault::Kind::Timeout;
+    if (!TimedOut || bootNow() >= Limit)
+      return Read;
+  }
+}
+
 ReadResult<void> RequestBody::fillReplayBuffer() {
   while (!this->Reader.done() &&
          this->ReplayBuffer.size() < config::ReplayBufferBytes) {
--- a/src/node/request_body.h
+++ b/src/node/request_body.h
@@ -12,6 +12,8 @@
 
 namespace siskinstage {
 
+class DrainState;
+
 /// The body of a caller's request. Its first part is kept in a replay buffer,
 /// so that the request can be sent again; the rest of a longer body is
 /// streamed.
@@ -19,8 +21,9 @@
 public:
   /// \param ExpectContinue the caller waits for "100 Continue".
   /// \param Deadline no further part is read after it.
+  /// \param Drain may end the reading sooner.
   RequestBody(TcpConnection &Caller, const BodyFraming &Framing,
-              bool ExpectContinue, Instant Deadline);
+              bool ExpectContinue, Instant Deadline, const DrainState &Drain);
   ~RequestBody();
   RequestBody(const RequestBody &) = delete;
   RequestBody &operator=(const RequestBody &) = delete;
@@ -58,12 +61,15 @@
   BodyReader Reader;
   bool ContinueDue; ///< "100 Continue" is still to be sent.
   Instant BodyDeadline;
+  const DrainState &Drain;
   std::string ReplayBuffer;
   std::uint64_t Total = 0; ///< Bytes read so far.
   std::unique_ptr<XXH3_state_s, HashDeleter> Hash;
 
   /// Reads the next bytes of the body and appends them to \p Into.
   ReadResult<void> readInto(std::string &Into);
+  /// Waits for the next bytes of the body until \p StallLimit or its deadline.
+  ReadResult<void> awaitBytes(std::string &Into, Instant StallLimit);
 };
 
 } // namespace siskinstage
--- a/src/node/request_flow.cpp
+++ b/src/node/request_flow.cpp
@@ -42,13 +42,11 @@
     : Context(Context), Caller(Caller), Request(Request),
       LastThread(LastThread),
       Body(Caller, Request.Framing, Request.ExpectContinue,
-           Request.Arrived +
-               Request.TimeLeft.value_or(config::DefaultDeadline)),
-      Writer(Caller, Request, Context.NodeSettings.HeaderDialect),
-      Current(Context.Snapshots.get()) {
-  if (Context.Draining.load())
-    this->Writer.closeAfter();
-}
+           Request.Arrived + Request.TimeLeft.value_or(config::DefaultDeadline),
+           Context.Drain),
+      Writer(Caller, Request, Context.NodeSettings.HeaderDialect,
+             Context.Drain),
+      Current(Context.Snapshots.get()) {}
 
 bool RequestFlow::run() {
   this->process();
@@ -129,6 +127,12 @@
     this->Deadline =
         std::min(this->Deadline, this->Request.Arrived + this->Limits.Timeout);
   this->Body.setDeadline(this->Deadline);
+  if (bootNow() >= this->Context.Drain.sendLimit(this->Deadline)) {
+    this->refuse(503, Outcome::NotRun, Step::Queue,
+                 this->Context.NodeSettings.Id.str(),
+                 "the node is shutting down");
+    return false;
+  }
   return true;
 }
 
--- a/src/node/request_flow.h
+++ b/src/node/request_flow.h
@@ -46,7 +46,8 @@
   [[nodiscard]] const ServiceName &
   selectService(const RouteRecord &Route) const;
   /// Determines the route, the service and the deadline.
-  /// \returns false if it has refused the request.
+  /// \returns false if it has refused the request, for which there may also be
+  ///          no time left before the process exits.
   bool route();
   /// Sends a response that the node itself generated.
   void serveInternal(const HttpResult<StoredResponse> &Response);
--- a/src/node/response_writer.cpp
+++ b/src/node/response_writer.cpp
@@ -1,5 +1,6 @@
 #include "node/response_writer.h"
 #include "net/boot_time.h"
+#include "node/drain_state.h"
 
 #include <Poco/NumberFormatter.h>
 
@@ -28,9 +29,11 @@
 
 ResponseWriter::ResponseWriter(TcpConnection &Caller,
                                const CallerRequest &Request,
-                               const Dialect &HeaderDialect)
-    : Caller(Caller), HeaderDialect(HeaderDialect), Id(Request.Id),
-      Http10(Request.Http10), HeadOnly(Request.Head.getMethod() == "HEAD"),
+                               const Dialect &HeaderDialect,
+                               const DrainState &Drain)
+    : Caller(Caller), HeaderDialect(HeaderDialect), Drain(&Drain),
+      Id(Request.Id), Http10(Request.Http10),
+      HeadOnly(Request.Head.getMethod() == "HEAD"),
       Keyed(Request.Key.has_value()), Close(!keepsConnection(Request)) {}
 
 ResponseWriter::ResponseWriter(TcpConnection &Caller, RequestId Id,
@@ -46,6 +49,9 @@
     Head.add(Name, Value);
   Head.set(this->HeaderDialect.RequestId, this->Id.str());
   this->Status = Response.Status;
+  // Checked as late as possible: the drain may have started meanwhile.
+  if (this->Drain != nullptr && this->Drain->active())
+    this->Close = true;
   return Head;
 }
 
--- a/src/node/response_writer.h
+++ b/src/node/response_writer.h
@@ -9,11 +9,14 @@
 
 namespace siskinstage {
 
+class DrainState;
+
 /// Sends the response of one request to its caller.
 class ResponseWriter {
 public:
+  /// \param Drain while it is active, the connection closes after the response.
   ResponseWriter(TcpConnection &Caller, const CallerRequest &Request,
-                 const Dialect &HeaderDialect = DefaultDialect);
+                 const Dialect &HeaderDialect, const DrainState &Drain);
   /// For a request whose head could not be read.
   /// \param WriteTime time limit for the caller to accept one write.
   ResponseWriter(TcpConnection &Caller, RequestId Id,
@@ -49,6 +52,7 @@
 private:
   TcpConnection &Caller;
   const Dialect &HeaderDialect;
+  const DrainState *Drain = nullptr;
   RequestId Id;
   bool Http10 = false;
   bool HeadOnly = false;
--- a/src/node/service_gate.cpp
+++ b/src/node/service_gate.cpp
@@ -1,6 +1,7 @@
 #include "node/service_gate.h"
 #include "core/placement.h"
 #include "net/boot_time.h"
+#include "node/drain_state.h"
 #include "node/snapshot_holder.h"
 #include "node/target_gauge.h"
 #include "siskinstage/config.h"
@@ -335,6 +336,12 @@
   Waiting.Wakeup.notify_one();
 }
 
+bool ServiceGate::isPastDrain(const PlacementParams &Request, Instant Now) {
+  return Request.Drain != nullptr &&
+         Now >= Request.Drain->sendLimit(Request.Deadline) &&
+         Now < Request.Deadline;
+}
+
 void ServiceGate::wakeFirst() {
   if (!this->Queue.empty())
     wake(*this->Queue.front());
@@ -368,15 +375,15 @@
   // so expired waits are also checked against the boot-time clock.
   const Instant Now = bootNow();
   for (Waiter *Waiting : this->Queue)
-    if (Now >= Waiting->WaitLimit)
+    if (Now >= Waiting->WaitLimit || isPastDrain(Waiting->Request, Now))
       wake(*Waiting);
 }
 
 tl::expected<TargetLease, ServiceGate::Rejection>
 ServiceGate::acquire(const SnapshotHolder &Snapshots,
                      const PlacementParams &Params) {
-  Waiter Self;
-  Self.WaitLimit = std::min(Params.Deadline, bootNow() + config::MaxQueueWait);
+  Waiter Self{Params,
+              std::min(Params.Deadline, bootNow() + config::MaxQueueWait)};
   std::unique_lock<std::mutex> Guard(this->Lock);
   const auto Dequeue = [this](Waiter *Waiting) { this->dequeue(*Waiting); };
   std::unique_ptr<Waiter, decltype(Dequeue)> Queued(nullptr, Dequeue);
@@ -387,6 +394,8 @@
     const auto View = Snapshots.get()->service(this->Name);
     if (!View)
       Refused = Rejection{Refusal::NoService, {}};
+    else if (isPastDrain(Params, bootNow()))
+      Refused = Rejection{Refusal::Draining, {}};
     else if (Queued && bootNow() >= Self.WaitLimit)
       Refused = Rejection{Refusal::TooLate, {}};
     else if (!(Lease = this->tryAcquire(*View, Params, Reason)) &&
--- a/src/node/service_gate.h
+++ b/src/node/service_gate.h
@@ -20,6 +20,7 @@
 
 namespace siskinstage {
 
+class DrainState;
 class SnapshotHolder;
 struct TargetGauge;
 
@@ -30,6 +31,8 @@
   Repeatability Kind = Repeatability::AtMostOnce;
   bool LargeBody = false;
   Instant Deadline;
+  /// Limits when the request may be sent; null for no limit.
+  const DrainState *Drain = nullptr;
 };
 
 /// Admission of requests to one service: chooses the target, counts its slots,
@@ -44,6 +47,7 @@
     TooLate,    ///< No slot is free, or expected to be, before the deadline.
     Restricted, ///< What the targets state leaves no room in time.
     NoService,  ///< The service is no longer configured.
+    Draining,   ///< The node exits before the request would end.
   };
 
   /// A request that got no target.
@@ -133,6 +137,7 @@
 private:
   /// A queued request; its thread sleeps on Wakeup.
   struct Waiter {
+    const PlacementParams &Request;
     Instant WaitLimit; ///< When it stops waiting.
     bool Woken = false;
     std::condition_variable Wakeup;
@@ -188,6 +193,8 @@
   /// and due to look for a slot again.
   void await(Waiter &Self, std::unique_lock<std::mutex> &Guard);
   static void wake(Waiter &Waiting);
+  /// Whether \p Request must not be sent to a target, as the node exits.
+  static bool isPastDrain(const PlacementParams &Request, Instant Now);
   void wakeFirst();
   void wakeNextAfter(const Waiter &Self);
   void dequeue(Waiter &Self);
--- a/src/node/state_dump.cpp
+++ b/src/node/state_dump.cpp
@@ -78,7 +78,7 @@
   Dump["region"] = Context.NodeSettings.Region;
   Dump["incarnation"] = static_cast<Json::UInt64>(Context.Keys.process().Value);
   Dump["ready"] = Context.ready();
-  Dump["draining"] = Context.Draining.load();
+  Dump["draining"] = Context.Drain.active();
   Dump["caller_connections"] = Context.CallerConnections.Open.load();
   Dump["control_connections"] = Context.ControlConnections.Open.load();
   Dump["requests_in_flight"] = Context.RequestsInFlight.load();
--- /dev/null
+++ b/tests/integration/test_planned_stop.py
@@ -0,0 +1,134 @@
+"""Tests of a node that gets SIGTERM while callers keep using their open
+connections. A request sent at most 3 s after the signal may be cut at the exit
+if its server still works on it; any other whole request is answered."""
+
+import signal
+import socket
+import threading
+import time
+import unittest
+
+from platform_fleet import FRONT, HOST, PlatformFleet, route
+
+SHUTDOWN_LIMIT_MS = 5600
+EXCUSED_S = 3  # after the signal
+DEADLINE_MS = 6000
+LARGE = b"p" * 300_000  # more than a node buffers
+
+
+class Caller(threading.Thread):
+    """Sends uploads on one connection, one after the other, and stops when the
+    node asks it to or closes the connection. The last byte of upload i is sent
+    at times[i], in seconds after the signal."""
+
+    def __init__(self, node, number, body, first_byte_lead_s, times):
+        super().__init__(daemon=True)
+        self.peer = socket.create_connection((node, FRONT))
+        self.peer.settimeout(10)
+        self.number = number
+        self.body = body
+        self.lead_s = first_byte_lead_s
+        self.times = times
+        self.signal_time = None
+        self.results = []  # (time of the last byte, status or None)
+
+    def begin(self, signal_time):
+        self.signal_time = signal_time
+        self.start()
+
+    def wait_until(self, after_signal_s):
+        time.sleep(max(0, self.signal_time + after_signal_s - time.monotonic()))
+
+    def run(self):
+        with self.peer:
+            self.send_uploads()
+
+    def send_uploads(self):
+        for count, last_byte_s in enumerate(self.times):
+            self.wait_until(last_byte_s - self.lead_s)
+            try:
+                self.peer.sendall(
+                    f"POST /photos/{count} HTTP/1.1\r\nHost: {HOST}\r\n"
+                    f"Attempt-Id: stop{self.number:04d}{count}\r\n"
+                    f"Deadline-Remaining: {DEADLINE_MS}\r\n"
+                    f"Content-Length: {len(self.body)}\r\n\r\n".encode()
+                    + self.body[:-1])
+                self.wait_until(last_byte_s)
+                self.peer.sendall(self.body[-1:])
+            except OSError:
+                return  # The node has not read a whole request.
+            head = self.read_head()
+            status = int(head.split(b" ")[1]) if head else None
+            self.results.append((last_byte_s, status))
+            if status is None or b"\r\nconnection: close" in head.lower():
+                return
+
+    def read_head(self):
+        """The head of the response; None if the connection ends before it."""
+        received = b""
+        try:
+            while b"\r\n\r\n" not in received:
+                data = self.peer.recv(65536)
+                if not data:
+                    return None
+                received += data
+        except OSError:
+            return None
+        return received
+
+
+class PlannedStop(unittest.TestCase):
+    def stop_under_load(self, callers, work_s, servers=3):
+        """Signals a node while callers(node) send; returns their results."""
+        with PlatformFleet(nodes=2, servers=servers, services=("photos",),
+                           node_flags=(f"--shutdown_limit_ms={SHUTDOWN_LIMIT_MS}",)
+                           ) as fleet:
+            fleet.configure({"r1": route("/photos/", "photos", "upload", 6)})
+            node = fleet.nodes[0]
+            for server in fleet.servers:
+                server.work_s = 0.02
+            while fleet.request("/photos/x", node, "POST", b"p")[0] != 200:
+                time.sleep(0.05)
+            for server in fleet.servers:
+                server.work_s = work_s
+            running = callers(node)
+            signal_time = time.monotonic() + 0.5
+            for caller in running:
+                caller.begin(signal_time)
+            time.sleep(signal_time - time.monotonic())
+            fleet.signal(node, signal.SIGTERM)
+            for caller in running:
+                caller.join()
+            fleet.processes[node].wait()
+            return [result for caller in running for result in caller.results]
+
+    def expect_no_cut(self, results):
+        cut = [result for result in results
+               if result[1] is None and result[0] > EXCUSED_S]
+        self.assertEqual(cut, [])
+
+    def test_uploads_after_an_answer_late_in_a_stop_are_not_cut(self):
+        # The first upload of each is in flight at the signal and answered after
+        # 3 s; the second follows it on the same connection.
+        results = self.stop_under_load(lambda node: [
+            Caller(node, n, b"p" * 1000, 0, (-0.1, 3.2)) for n in range(20)],
+            work_s=3.15, servers=12)
+        self.assertEqual([s for t, s in results if t < 0], [200] * 20)
+        self.expect_no_cut(results)
+
+    def test_uploads_whose_bodies_end_late_are_not_cut(self):
+        results = self.stop_under_load(lambda node: [
+            Caller(node, n, body, 1.0 + 0.1 * n, (3.5 + 0.1 * n,))
+            for n, body in enumerate((b"p" * 1000, LARGE) * 8)],
+            work_s=1.7, servers=12)
+        self.expect_no_cut(results)
+
+    def test_requests_that_wait_for_a_slot_are_not_cut(self):
+        results = self.stop_under_load(lambda node: [
+            Caller(node, n, b"p", 0, (2.7,) if n % 2 else (0.3,))
+            for n in range(60)], work_s=3.5, servers=2)
+        self.assertEqual({s for _, s in results}, {200, 503})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/unit/service_gate_test.cpp
+++ b/tests/unit/service_gate_test.cpp
@@ -1,4 +1,5 @@
 #include "net/boot_time.h"
+#include "node/drain_state.h"
 #include "node/service_gate.h"
 #include "node/snapshot_holder.h"
 #include "node/target_gauge.h"
@@ -37,6 +38,7 @@
     PlacementParams Params;
     Params.Tried = Tried;
     Params.Deadline = bootNow() + TimeLeft;
+    Params.Drain = &this->Drain;
     return this->Gate->acquire(this->Snapshots, Params);
   }
   /// Calls acquire() on another thread, and returns once that waits.
@@ -54,6 +56,7 @@
   std::shared_ptr<ServiceGate> Gate =
       std::make_shared<ServiceGate>(ServiceName("s"), 1);
   SnapshotHolder Snapshots{std::make_shared<const Snapshot>()};
+  DrainState Drain;
 };
 
 bool isReady(std::future<AcquireResult> &Result, Millis Wait = Millis(1500)) {
@@ -74,6 +77,19 @@
   EXPECT_TRUE(Second.get());
 }
 
+TEST(ServiceGate, WaitersThatWouldOutliveAPlannedStopAreRejected) {
+  Service Only({"a"});
+  auto Holder = Only.acquire(Millis(1000));
+  ASSERT_TRUE(Holder);
+  auto First = Only.queue(Millis(9000));
+  auto Second = Only.queue(Millis(9000));
+  Only.Drain.begin(bootNow(), Millis(400));
+  ASSERT_TRUE(isReady(First, Millis(1000)));
+  ASSERT_TRUE(isReady(Second, Millis(1000)));
+  EXPECT_EQ(First.get().error(), ServiceGate::Refusal::Draining);
+  EXPECT_EQ(Second.get().error(), ServiceGate::Refusal::Draining);
+}
+
 TEST(ServiceGate, ASlotThatTheFirstMayNotHaveGoesToTheNext) {
   Service Two({"a", "b"});
   auto One = Two.acquire(Millis(1000));
