A node serves callers only with a configuration

Cause: nodes that start together compared their records, found them equal, and took them for those of the platform. The fleet record, which is made of the settings, counted as a configuration. The end of the wait also sufficed alone.

Ruled out as sufficient: the end of the wait, which was longer than the time to the first 404.

Change: readiness is a decision of the core. The record that holds the configuration is required; only peers that have read the platform, or serve callers, are compared with, and the others send no digest of records.

--- a/src/core/gossip_message.h
+++ b/src/core/gossip_message.h
@@ -73,6 +73,9 @@
     std::variant<Ping, PingRequest, Ack, RecordUpdate, TargetReport,
                  GrayEstimateUpdate, CrashReport, RateLimitUpdate>;
 
+/// Digest that a node sends while it lacks the records of the platform.
+inline constexpr std::uint64_t NoRecordsDigest = 0;
+
 /// One datagram between nodes.
 struct GossipMessage {
   Member From;
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -123,28 +123,39 @@
   this->Context.postCommand(BroadcastRecord{std::move(Update), Source});
 }
 
+ReadinessFacts DecisionLoop::readinessFacts(Instant Now) const {
+  const Settings &Values = this->Context.NodeSettings;
+  ReadinessFacts Known;
+  Known.ConfigurationKnown =
+      Values.RequiredRecord
+          ? this->records().find(*Values.RequiredRecord) != nullptr
+          : !this->records().all().empty();
+  Known.PlatformRead = this->PlatformRead;
+  Known.PlatformCurrent = this->PlatformCurrent;
+  Known.DomainsCompared = this->ComparedDomains.size();
+  Known.InstanceListRead = this->InstanceListRead;
+  Known.DomainsListed = this->ListedNodeDomains.size();
+  Known.WaitedOut = Now - this->Started >= Values.ReadyWait;
+  return Known;
+}
+
 void DecisionLoop::updateReadiness(Instant Now) {
-  if (this->NextSnapshot.Configured || this->records().all().empty())
+  if (this->NextSnapshot.Configured)
     return;
-  const bool TimedOut =
-      Now - this->Started >= this->Context.NodeSettings.ReadyWait;
-  const std::size_t ComparedCount = this->ComparedDomains.size();
-  const std::size_t ListedCount = this->ListedNodeDomains.size();
-  const bool PeersSuffice =
-      ComparedCount >= config::ReadyDomains ||
-      (this->InstanceListRead && ComparedCount >= ListedCount);
-  // A peer whose records were compared has the platform's revisions, so the
-  // platform itself need not be read.
-  const bool PlatformKnown =
-      this->PlatformRead || !this->ComparedDomains.empty();
-  if (!TimedOut && !this->PlatformCurrent && (!PeersSuffice || !PlatformKnown))
+  const ReadinessFacts Known = this->readinessFacts(Now);
+  if (hasPlatformRecords(Known) && !this->NextSnapshot.HasPlatformRecords) {
+    this->NextSnapshot.HasPlatformRecords = true;
+    this->SnapshotChanged = true;
+  }
+  if (!mayServeCallers(Known))
     return;
+  this->NextSnapshot.HasPlatformRecords = true;
   this->NextSnapshot.Configured = true;
   this->SnapshotChanged = true;
   logEvent(LogLevel::Info, "node is ready to serve callers",
-           {{"domains_compared", std::to_string(this->ComparedDomains.size())},
-            {"platform_read", this->PlatformRead ? "yes" : "no"},
-            {"waited_out", TimedOut ? "yes" : "no"}});
+           {{"domains_compared", std::to_string(Known.DomainsCompared)},
+            {"platform_read", Known.PlatformRead ? "yes" : "no"},
+            {"waited_out", Known.WaitedOut ? "yes" : "no"}});
 }
 
 void DecisionLoop::removeRecord(const Record &Old) {
--- a/src/node/decision_loop.h
+++ b/src/node/decision_loop.h
@@ -1,6 +1,7 @@
 #ifndef SISKINSTAGE_NODE_DECISION_LOOP_H
 #define SISKINSTAGE_NODE_DECISION_LOOP_H
 
+#include "core/readiness.h"
 #include "core/record_store.h"
 #include "core/retry_share.h"
 #include "core/service_health.h"
@@ -93,6 +94,7 @@
   /// \param From domain of the node that sent the record; empty if it came
   ///        from the platform.
   void broadcastRecord(const Record &New, const FailureDomain &From);
+  [[nodiscard]] ReadinessFacts readinessFacts(Instant Now) const;
   /// Marks the snapshot as configured, so that callers are served, once enough
   /// has been read from the platform or compared with peers.
   void updateReadiness(Instant Now);
--- a/src/node/gossip_loop.cpp
+++ b/src/node/gossip_loop.cpp
@@ -194,8 +194,9 @@
 void GossipLoop::compareDigests(const GossipMessage &Message) {
   const Instant Now = bootNow();
   const bool Starting = !this->Context.Snapshots.get()->Configured;
+  const bool Comparable = Message.RecordsDigest != NoRecordsDigest;
   const bool Differ = Message.RecordsDigest != this->Context.Records.digest();
-  if ((Differ || Starting) && Now >= this->NextRecordSync) {
+  if (Comparable && (Differ || Starting) && Now >= this->NextRecordSync) {
     this->NextRecordSync =
         Now + (Starting ? config::GossipAckTimeout : config::RecordSyncPeriod);
     this->Context.postSyncTask({SyncTask::Kind::Records,
@@ -273,7 +274,10 @@
 }
 
 void GossipLoop::send(const Address &To, GossipMessage Message) {
-  Message.RecordsDigest = this->Context.Records.digest();
+  // Without the records of the platform there is nothing to compare with.
+  Message.RecordsDigest = this->Context.Snapshots.get()->HasPlatformRecords
+                              ? this->Context.Records.digest()
+                              : NoRecordsDigest;
   std::string Datagram =
       this->Seal.seal(gossipNotification(encodeGossip(Message)), wallClockMs());
   // Membership updates are dropped until a message with a long record fits.
--- a/src/node/peer_api.cpp
+++ b/src/node/peer_api.cpp
@@ -7,6 +7,7 @@
 #include "net/wall_clock.h"
 #include "node/header_names.h"
 #include "node/node_context.h"
+#include "node/snapshot.h"
 #include "siskinstage/config.h"
 
 #include <Poco/NumberParser.h>
@@ -107,6 +108,8 @@
   const std::string Page =
       Uri.getPath().substr(std::string_view(PeerPathPrefix).size());
   Json::Value Value;
+  if (Page == "digests" && !Context.Snapshots.get()->HasPlatformRecords)
+    return refuse(503, "the node does not have the records of the platform");
   if (Page == "digests")
     Value = digestsValue(Context);
   else if (Page == "bucket")
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -6,6 +6,7 @@
 #include "node/dialect.h"
 #include "node/log.h"
 #include "siskinstage/config.h"
+#include "siskinstage/record.h"
 #include "siskinstage/strong_id.h"
 #include "siskinstage/units.h"
 
@@ -47,6 +48,9 @@
   /// How long new connections are accepted after SIGTERM.
   Millis AcceptLinger = config::AcceptLingerTime;
   Millis ShutdownLimit = config::ShutdownLimit;
+  /// The record without which there is no configuration; if not set, any
+  /// record is one.
+  std::optional<RecordKey> RequiredRecord;
   bool PrintOnly = false; ///< Print the settings and exit.
 };
 
--- a/src/node/snapshot.h
+++ b/src/node/snapshot.h
@@ -55,6 +55,8 @@
   Revision HighestRevision;
   std::size_t RecordCount = 0;
   bool Configured = false; ///< A complete configuration is applied.
+  /// Other nodes may compare their records with those of this node.
+  bool HasPlatformRecords = false;
   RouteTable Routes;
   Accounts AccountRecords;
   Services ServiceViews;
