Values over the bounds of records keep no configuration out of force

Cause: the record parser has upper bounds that the platform doesn't have, and one value over them rejects the bundle as a whole.

Evidence: "record bundle/operator rejected: field routes[1].timeout_ms: found 600000, allowed is a whole number from 0 to 300000" at the nodes. Ruled out: the translation, which passed it on, and the broadcast, which had nothing to send.

Change: the bounds are named in record_limits.h; the adapter lowers larger values to them, which changes nothing for callers. Weights of any scale keep their proportions; names given by the platform may have any characters but control characters. A Deadline-Remaining over 300000 counts as 300000 instead of 400.

--- a/src/core/record_parser.cpp
+++ b/src/core/record_parser.cpp
@@ -1,6 +1,7 @@
 #include "core/record_parser.h"
 #include "core/address.h"
 #include "core/record_upgrade.h"
+#include "siskinstage/record_limits.h"
 
 #include <algorithm>
 #include <cctype>
@@ -14,14 +15,10 @@
 
 namespace {
 
-constexpr std::uint64_t MaxSlots = 10'000;
+using namespace record_limits;
+
 constexpr std::uint64_t MaxConcurrency = 1'000'000;
 constexpr double MaxRate = 1e9;
-constexpr std::size_t MaxNameBytes = 200;
-
-constexpr std::uint64_t MaxWeight = 1'000'000;
-constexpr std::uint64_t MaxAttempts = 100;
-constexpr std::uint64_t MaxPriority = 1'000;
 
 const std::vector<std::string> KindNames = {"service", "route",  "account",
                                             "fleet",   "target", "bundle"};
@@ -46,8 +43,16 @@
   return Name;
 }
 
-std::uint64_t maxDeadlineMs() {
-  return static_cast<std::uint64_t>(config::MaxDeadline.count());
+/// Reads a name that another system has given, and that only has to be told
+/// apart from others.
+std::string readForeignName(FieldReader &Fields, const std::string &Field) {
+  std::string Name = Fields.requiredText(Field);
+  const bool HasControl =
+      std::any_of(Name.begin(), Name.end(),
+                  [](unsigned char Byte) { return std::iscntrl(Byte) != 0; });
+  if (Name.size() > MaxNameBytes || HasControl)
+    Fields.addFault(Field, "up to 200 bytes without control characters");
+  return Name;
 }
 
 /// Reads all fields of a target except its id.
@@ -60,7 +65,7 @@
   Target.Capacity.Value =
       static_cast<std::uint32_t>(Fields.number("slots", 0, 0, MaxSlots));
   Target.Leaving = Fields.flag("leaving").value_or(false);
-  Target.Warmup = Millis(Fields.number("warmup_ms", 0, 0, maxDeadlineMs()));
+  Target.Warmup = Millis(Fields.number("warmup_ms", 0, 0, MaxDurationMs));
   Target.Process.Value = Fields.number(
       "incarnation", 0, 0,
       static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max()));
@@ -114,7 +119,7 @@
   const auto DefaultMs =
       static_cast<std::uint64_t>(config::DefaultDeadline.count());
   Service.Deadline =
-      Millis(Fields.number("deadline_ms", DefaultMs, 1, maxDeadlineMs()));
+      Millis(Fields.number("deadline_ms", DefaultMs, 1, MaxDurationMs));
   Service.RequireEcho = Fields.flag("require_echo").value_or(false);
   Service.HealthPath = Fields.text("health_path", Service.HealthPath);
   if (Service.HealthPath.empty() || Service.HealthPath.front() != '/')
@@ -144,7 +149,7 @@
     }
     FieldReader BackendFields(List[I], Path, Reading.Faults);
     RouteBackend Parsed;
-    Parsed.Service = ServiceName(readName(BackendFields, "service"));
+    Parsed.Service = ServiceName(readForeignName(BackendFields, "service"));
     Parsed.Weight = static_cast<std::uint32_t>(
         BackendFields.number("weight", 1, 0, MaxWeight));
     Backends.push_back(std::move(Parsed));
@@ -172,13 +177,12 @@
                                 "a method in capitals, as \"GET\""});
   Route.Backends = readBackends(Fields, Reading);
   if (Route.Backends.empty())
-    Route.Service = ServiceName(readName(Fields, "service"));
+    Route.Service = ServiceName(readForeignName(Fields, "service"));
   Route.Repeatable = Fields.flag("repeatable");
   Route.MaxAttempts = static_cast<std::uint32_t>(
       Fields.number("max_attempts", 0, 0, MaxAttempts));
-  Route.Timeout = Millis(Fields.number("timeout_ms", 0, 0, maxDeadlineMs()));
-  Route.Objective =
-      Millis(Fields.number("objective_ms", 0, 0, maxDeadlineMs()));
+  Route.Timeout = Millis(Fields.number("timeout_ms", 0, 0, MaxDurationMs));
+  Route.Objective = Millis(Fields.number("objective_ms", 0, 0, MaxDurationMs));
   Route.Priority =
       static_cast<std::uint32_t>(Fields.number("priority", 0, 0, MaxPriority));
   return Route;
@@ -186,7 +190,7 @@
 
 TargetRecord readTargetRecord(FieldReader &Fields, const std::string &Name) {
   TargetRecord Target;
-  Target.Service = ServiceName(readName(Fields, "service"));
+  Target.Service = ServiceName(readForeignName(Fields, "service"));
   Target.Spec = readTargetFields(Fields);
   Target.Spec.Id = TargetId(Name);
   return Target;
@@ -206,7 +210,7 @@
       continue;
     }
     FieldReader Part(List[I], Path, Reading.Faults);
-    Parts.push_back(Read(Part, readName(Part, "name")));
+    Parts.push_back(Read(Part, readForeignName(Part, "name")));
     for (const std::string &Unknown : Part.unknownFields())
       Reading.Warnings.push_back("unknown field " + Unknown);
   }
@@ -322,7 +326,9 @@
   Fields.requiredText("kind");
   Parsed.Key.Kind =
       static_cast<RecordKind>(Fields.choice("kind", KindNames, 0));
-  Parsed.Key.Name = readName(Fields, "name");
+  Parsed.Key.Name = Parsed.Key.Kind == RecordKind::Target
+                        ? readForeignName(Fields, "name")
+                        : readName(Fields, "name");
   Parsed.Rev.Value = Fields.requiredNumber(
       "revision", 1,
       static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max()));
--- a/src/node/caller_request.cpp
+++ b/src/node/caller_request.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <limits>
 
 namespace siskinstage {
 
@@ -105,11 +106,12 @@
 HttpResult<void> readDialectHeaders(CallerRequest &Request,
                                     const Dialect &HeaderDialect) {
   const auto TimeLeft = singleNumber(Request.Head, HeaderDialect.Deadline, 1,
-                                     config::MaxDeadline.count());
+                                     std::numeric_limits<std::int64_t>::max());
   if (!TimeLeft)
     return tl::unexpected<HttpRefusal>(TimeLeft.error());
   if (*TimeLeft)
-    Request.TimeLeft = Millis(**TimeLeft);
+    Request.TimeLeft =
+        std::min<Millis>(Millis(**TimeLeft), config::MaxDeadline);
   const auto Hops =
       singleNumber(Request.Head, header::Hops, 0, config::MaxForwardHops);
   if (!Hops)
--- a/tests/integration/test_platform_path.py
+++ b/tests/integration/test_platform_path.py
@@ -42,6 +42,12 @@
         self.assertLessEqual(int(sent[0]["Deadline-Remaining"]), 2000)
         self.assertIn("i-orders", sent[0]["Expect-Instance"])
 
+    def test_a_long_deadline_is_no_malformed_header(self):
+        for deadline_ms in (300_001, 10 ** 15):
+            status, _, _ = self.fleet.request("/reads/1",
+                                              deadline_ms=deadline_ms)
+            self.assertEqual(status, 200, deadline_ms)
+
     def test_a_path_outside_every_route_is_not_found(self):
         for path in ("/other/1", "/reads", "/readsx/1"):
             self.assertEqual(self.fleet.request(path)[0], 404, path)
--- a/tests/unit/platform_translation_test.cpp
+++ b/tests/unit/platform_translation_test.cpp
@@ -114,6 +114,76 @@
             std::string::npos);
 }
 
+/// ValidConfig with each \p Replaced text in place of the first one.
+std::string changedConfig(
+    const std::vector<std::pair<std::string, std::string>> &Replaced) {
+  std::string Text = ValidConfig;
+  for (const auto &[Old, New] : Replaced)
+    Text.replace(Text.find(Old), Old.size(), New);
+  return Text;
+}
+
+TEST(PlatformTranslation, LargeValuesKeepNoConfigurationOutOfForce) {
+  const auto Translated = bundleRecord(
+      configItem(changedConfig(
+          {{"\"timeout-s\":1.5", "\"timeout-s\":600"},
+           {"\"target-latency-s\":1", "\"target-latency-s\":86400"},
+           {"\"priority\":2", "\"priority\":70000"},
+           {"\"max-attempts\":2", "\"max-attempts\":5000"},
+           {"\"/health\"", "\"\""}})),
+      {});
+  ASSERT_TRUE(Translated) << Translated.error().text();
+  const auto Reading = readRecord(*Translated);
+  ASSERT_TRUE(Reading.Accepted) << Reading.Faults.front().text();
+  const auto &Bundle = std::get<BundleRecord>(Reading.Accepted->Body);
+  // No request lasts longer, so that the limit has the same effect.
+  EXPECT_EQ(Bundle.Routes[0].Timeout, config::MaxDeadline);
+  EXPECT_EQ(Bundle.Routes[0].Objective, config::MaxDeadline);
+  EXPECT_EQ(Bundle.Routes[0].MaxAttempts, 100U);
+  EXPECT_EQ(Bundle.Routes[1].Timeout, Millis(4000));
+}
+
+TEST(PlatformTranslation, WeightsOfAnyScaleKeepTheirProportions) {
+  for (const auto &[First, Second] :
+       {std::pair("0.9", "0.1"), std::pair("9e12", "1e12"),
+        std::pair("4.5", "0.5")}) {
+    const auto Reading = readRecord(
+        *bundleRecord(configItem(changedConfig(
+                          {{"90", First}, {"10}", Second + std::string("}")}})),
+                      {}));
+    ASSERT_TRUE(Reading.Accepted) << Reading.Faults.front().text();
+    const auto &Backends =
+        std::get<BundleRecord>(Reading.Accepted->Body).Routes[0].Backends;
+    EXPECT_NEAR(Backends[0].Weight, 9.0 * Backends[1].Weight, 9) << First;
+    EXPECT_GT(Backends[1].Weight, 0U);
+  }
+}
+
+TEST(PlatformTranslation, NamesNeedNotBeThoseOfRecords) {
+  std::string Text = ValidConfig;
+  for (std::size_t At = Text.find("h1"); At != std::string::npos;
+       At = Text.find("h1", At + 1))
+    Text.replace(At, 2, "lab: uploads/ñ");
+  const auto Reading = readRecord(*bundleRecord(configItem(Text), {}));
+  ASSERT_TRUE(Reading.Accepted) << Reading.Faults.front().text();
+  const auto &Bundle = std::get<BundleRecord>(Reading.Accepted->Body);
+  EXPECT_EQ(Bundle.Routes[0].Backends[0].Service.str(), "lab: uploads/ñ");
+}
+
+TEST(PlatformTranslation, AServerWithLargeValuesIsATarget) {
+  std::string Text = ValidServer;
+  Text.replace(Text.find("1.5"), 3, "900");
+  Text.replace(Text.find("\"slots\":3"), 9, "\"slots\":50000");
+  StoreItem Item = serverItem(Text);
+  Item.Key = "servers/eu:7 b";
+  const auto Reading = readRecord(*targetRecord(Item));
+  ASSERT_TRUE(Reading.Accepted) << Reading.Faults.front().text();
+  const auto &Target = std::get<TargetRecord>(Reading.Accepted->Body);
+  EXPECT_EQ(Target.Spec.Id.str(), "eu:7 b");
+  EXPECT_EQ(Target.Spec.Capacity.Value, 10'000U);
+  EXPECT_EQ(Target.Spec.Warmup, config::MaxDeadline);
+}
+
 TEST(PlatformTranslation, OnlyPathsBelowAPrefixMatch) {
   const auto Reading = readRecord(*bundleRecord(configItem(ValidConfig), {}));
   RouteTable Routes;
