--- a/src/core/record_parser.cpp
+++ b/src/core/record_parser.cpp
@@ -244,10 +244,9 @@
 FleetRecord readFleet(FieldReader &Fields, const std::string &Name) {
   FleetRecord Fleet;
   Fleet.Name = Name;
-  Fleet.RetryBudget =
-      Fields.real("retry_budget", config::RetryBudgetFraction, 0, 1);
-  Fleet.RetryBurst =
-      Fields.real("retry_burst", 0, 0, static_cast<double>(MaxConcurrency));
+  Fleet.RetryBudget = Fields.real("retry_budget", config::RetryBudgetFraction,
+                                  0, MaxRetryBudget);
+  Fleet.RetryBurst = Fields.real("retry_burst", 0, 0, MaxRetryBurst);
   Fleet.EntriesPerAccount =
       Fields.number("entries_per_account", config::EntriesPerAccount, 1, 64);
   return Fleet;
