The exit after SIGTERM follows the platform's grace time

Cause: the limit was fixed in the deploy file, for the sites with grace-s 6.

Evidence: test_the_exit_follows_the_grace_time_of_the_platform on the program before: the process outlives a grace time of 3 s.

--- a/tests/integration/test_planned_stop.py
+++ b/tests/integration/test_planned_stop.py
@@ -8,7 +8,7 @@
 import time
 import unittest
 
-from platform_fleet import FRONT, HOST, PlatformFleet, route
+from platform_fleet import BOUNDS, FRONT, HOST, PlatformFleet, route
 
 SHUTDOWN_LIMIT_MS = 5600
 EXCUSED_S = 3  # after the signal
@@ -21,7 +21,8 @@
     node asks it to or closes the connection. The last byte of upload i is sent
     at times[i], in seconds after the signal."""
 
-    def __init__(self, node, number, body, first_byte_lead_s, times):
+    def __init__(self, node, number, body, first_byte_lead_s, times,
+                 deadline_ms=DEADLINE_MS):
         super().__init__(daemon=True)
         self.peer = socket.create_connection((node, FRONT))
         self.peer.settimeout(10)
@@ -29,6 +30,7 @@
         self.body = body
         self.lead_s = first_byte_lead_s
         self.times = times
+        self.deadline_ms = deadline_ms
         self.signal_time = None
         self.results = []  # (time of the last byte, status or None)
 
@@ -50,7 +52,7 @@
                 self.peer.sendall(
                     f"POST /photos/{count} HTTP/1.1\r\nHost: {HOST}\r\n"
                     f"Attempt-Id: stop{self.number:04d}{count}\r\n"
-                    f"Deadline-Remaining: {DEADLINE_MS}\r\n"
+                    f"Deadline-Remaining: {self.deadline_ms}\r\n"
                     f"Content-Length: {len(self.body)}\r\n\r\n".encode()
                     + self.body[:-1])
                 self.wait_until(last_byte_s)
@@ -129,6 +131,24 @@
             for n in range(60)], work_s=3.5, servers=2)
         self.assertEqual({s for _, s in results}, {200, 503})
 
+    def test_the_exit_follows_the_grace_time_of_the_platform(self):
+        grace_s = 3
+        with PlatformFleet(nodes=1, servers=1, services=("photos",),
+                           bounds=dict(BOUNDS, **{"grace-s": grace_s}),
+                           node_flags=("--shutdown_limit_ms=60000",)) as fleet:
+            node = fleet.nodes[0]
+            fleet.configure({"r1": route("/photos/", "photos", "upload", 6)})
+            while fleet.request("/photos/x", node, "POST", b"p")[0] != 200:
+                time.sleep(0.05)
+            for server in fleet.servers:
+                server.work_s = 2 * grace_s
+            caller = Caller(node, 0, b"p", 0, (-0.2,))
+            caller.begin(time.monotonic() + 0.5)
+            time.sleep(0.5)
+            fleet.signal(node, signal.SIGTERM)
+            fleet.processes[node].wait(grace_s)
+            caller.join()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/platform_translation_test.cpp
+++ b/tests/unit/platform_translation_test.cpp
@@ -230,6 +230,14 @@
   }
 }
 
+TEST(PlatformTranslation, TheExitPrecedesTheEndOfTheGraceTime) {
+  EXPECT_EQ(shutdownLimit(*readBounds("grace-s=6")->Grace), Millis(5600));
+  EXPECT_EQ(shutdownLimit(*readBounds(R"({"grace-s":10})")->Grace),
+            Millis(9600));
+  EXPECT_EQ(shutdownLimit(*readBounds("grace-s=0.5")->Grace), Millis(250));
+  EXPECT_FALSE(readBounds("drain-s=2")->Grace);
+}
+
 TEST(PlatformTranslation, LargeBoundsAreThoseOfRecords) {
   const auto Reading = readRecord(
       fleetRecord(*readBounds("retry-budget-ratio=1.5,retry-burst=1e12")));
