--- a/tests/integration/test_planned_stop.py
+++ b/tests/integration/test_planned_stop.py
@@ -80,12 +80,12 @@
 
 
 class PlannedStop(unittest.TestCase):
-    def stop_under_load(self, callers, work_s, servers=3):
+    def stop_under_load(self, callers, work_s, servers=3, kind="upload"):
         """Signals a node while callers(node) send; returns their results."""
         with PlatformFleet(nodes=2, servers=servers, services=("photos",),
                            node_flags=(f"--shutdown_limit_ms={SHUTDOWN_LIMIT_MS}",)
                            ) as fleet:
-            fleet.configure({"r1": route("/photos/", "photos", "upload", 6)})
+            fleet.configure({"r1": route("/photos/", "photos", kind, 6)})
             node = fleet.nodes[0]
             for server in fleet.servers:
                 server.work_s = 0.02
@@ -131,6 +131,19 @@
             for n in range(60)], work_s=3.5, servers=2)
         self.assertEqual({s for _, s in results}, {200, 503})
 
+    def test_orders_late_in_a_planned_stop_in_calm_are_not_cut(self):
+        results = self.stop_under_load(lambda node: [
+            Caller(node, n, b"p", 0.5, (3.15 + 0.01 * n,))
+            for n in range(20)], work_s=2.5, servers=8, kind="unsafe")
+        self.assertEqual(len(results), 20)
+        self.assertEqual({status for _, status in results} - {408, 503}, set())
+
+    def test_late_requests_that_end_before_the_exit_are_served(self):
+        results = self.stop_under_load(lambda node: [
+            Caller(node, n, b"p", 0.5, (3.2 + 0.01 * n,), deadline_ms=1500)
+            for n in range(10)], work_s=0.3, servers=4)
+        self.assertEqual([status for _, status in results], [200] * 10)
+
     def test_the_exit_follows_the_grace_time_of_the_platform(self):
         grace_s = 3
         with PlatformFleet(nodes=1, servers=1, services=("photos",),
