--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -50,14 +50,20 @@
     return [fill_in(word, values) for word in shlex.split(command)[1:]]
 
 
+def exchange(connection, path, method="GET", body=None, headers=None):
+    """Sends a request on a connection, which is opened if it is closed; returns
+    status, headers and body."""
+    connection.request(method, path, body, headers or {})
+    response = connection.getresponse()
+    return response.status, response.headers, response.read().decode()
+
+
 def fetch(address, port, path, method="GET", body=None, headers=None,
           timeout=8):
     """Sends a request on a new connection; returns status, headers and body."""
     connection = http.client.HTTPConnection(address, port, timeout=timeout)
     try:
-        connection.request(method, path, body, headers or {})
-        response = connection.getresponse()
-        return response.status, response.headers, response.read().decode()
+        return exchange(connection, path, method, body, headers)
     finally:
         connection.close()
 
@@ -178,8 +184,15 @@
         return json.loads(body)["addresses"] if status == 200 else []
 
     def request(self, path, node=None, method="GET", body=None,
-                deadline_ms=5000, attempt=None):
+                deadline_ms=5000, attempt=None, connection=None):
+        """Sends a request to a node, on the given connection or a new one."""
         self.attempts += 1
         headers = {"Host": HOST, "Deadline-Remaining": str(deadline_ms),
                    "Attempt-Id": attempt or f"a{self.attempts:08x}"}
+        if connection:
+            return exchange(connection, path, method, body, headers)
         return fetch(node or self.nodes[0], FRONT, path, method, body, headers)
+
+    def connection(self, node):
+        """A connection that is kept for several requests."""
+        return http.client.HTTPConnection(node, FRONT, timeout=8)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,6 +16,8 @@
 
 STEP_S = 0.7          # between two faults, which last longer
 CALLERS = 6
+#: A request sent later than this after a SIGTERM is answered before the exit.
+PLANNED_STOP_S = 3
 RECOVERY_S = 30       # limit for the fleet to serve all routes at the end
 NOT_RUN_STATUSES = (408, 421, 429, 503)  # the request was not executed
 BEHAVIOURS = ("normal", "hang", "shed", "reset", "unsealed", "error", "busy",
@@ -30,6 +32,8 @@
         self.stopping = threading.Event()
         self.lock = threading.Lock()
         self.responses = []  # (attempt, path, status, headers, body)
+        self.unanswered = []  # (attempt, node, time of sending, time of the end)
+        self.signals = []     # (time, node, signal)
         self.violations = []
         self.routes = {"r1": route("/reads/", "reads"),
                        "r2": route("/orders/", "orders", "unsafe", 2)}
@@ -41,19 +45,27 @@
     def send_requests(self, number):
         rng = random.Random(number)
         count = 0
+        # The connections are used until their nodes close them.
+        kept = {node: self.fleet.connection(node) for node in self.fleet.nodes}
         while not self.stopping.is_set():
             count += 1
             attempt = f"soak-{number}-{count}"
             unsafe = rng.random() < 0.6
             path = f"/orders/{count}" if unsafe else f"/reads/{count}"
             node = rng.choice(self.fleet.nodes)
-            self.notices.sent[attempt] = (node, time.monotonic())
+            sent = time.monotonic()
+            self.notices.sent[attempt] = (node, sent)
             try:
                 status, headers, body = self.fleet.request(
                     path, node, "POST" if unsafe else "GET",
-                    b"lot" if unsafe else None, 3000, attempt)
+                    b"lot" if unsafe else None, 3000, attempt, kept[node])
             except (OSError, http.client.HTTPException):
-                continue  # Without a response, the outcome is unknown.
+                # Without a response, the outcome is unknown.
+                kept[node].close()
+                with self.lock:
+                    self.unanswered.append(
+                        (attempt, node, sent, time.monotonic()))
+                continue
             with self.lock:
                 self.responses.append((attempt, path, status, headers, body))
                 if body.startswith("from "):
@@ -63,6 +75,7 @@
     # Faults ------------------------------------------------------------------
 
     def restart(self, node, signal_number):
+        self.signals.append((time.monotonic(), node, signal_number))
         self.notices.disturb(node, time.monotonic())
         self.fleet.signal(node, signal_number)
 
@@ -75,11 +88,13 @@
 
     def freeze(self, node):
         self.notices.disturb(node, time.monotonic())
+        self.signals.append((time.monotonic(), node, signal.SIGSTOP))
         self.fleet.signal(node, signal.SIGSTOP)
         self.frozen.add(node)
 
     def resume_all(self):
         for node in self.frozen:
+            self.signals.append((time.monotonic(), node, signal.SIGCONT))
             self.fleet.signal(node, signal.SIGCONT)
             self.notices.undisturb(node, time.monotonic())
         self.frozen.clear()
@@ -178,9 +193,22 @@
                     self.violations.append(
                         f"{path} ran at {server.id}, which does not serve it")
         self.violations += self.notices.violations()
+        for unanswered in self.unanswered:
+            self.check_unanswered(unanswered[0] in runs_by_attempt, *unanswered)
         for response in self.responses:
             self.check_response(runs_by_attempt.get(response[0], []), *response)
 
+    def check_unanswered(self, ran, attempt, node, sent, ended):
+        """A request that ran and got no response, though it was sent late in a
+        planned stop of its node that nothing else disturbed."""
+        before = [(at, number) for at, signalled, number in self.signals
+                  if signalled == node and at <= ended]
+        if not ran or not before or before[-1][1] != signal.SIGTERM:
+            return
+        if sent > before[-1][0] + PLANNED_STOP_S:
+            self.violations.append(
+                f"{attempt} was cut in a planned stop of {node}")
+
     def check_response(self, runs, attempt, path, status, headers, body):
         if status in NOT_RUN_STATUSES and runs and path.startswith("/orders/"):
             self.violations.append(
