--- a/bench/core_size.cpp
+++ b/bench/core_size.cpp
@@ -1,9 +1,9 @@
 // CPU time and memory of the core's operations at the design size.
-#include "core/key_table.h"
-#include "core/pick.h"
-#include "core/record_store.h"
-#include "core/route_table.h"
-#include "core/service_health.h"
+#include "core/records/record_store.h"
+#include "core/requests/key_table.h"
+#include "core/requests/route_table.h"
+#include "core/targets/pick.h"
+#include "core/targets/service_health.h"
 
 #include <benchmark/benchmark.h>
 #include <cstdio>
--- a/src/core/chunk_decoder.cpp
+++ b/src/core/callers/chunk_decoder.cpp
@@ -1,4 +1,4 @@
-#include "core/chunk_decoder.h"
+#include "core/callers/chunk_decoder.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
--- a/src/core/chunk_decoder.h
+++ b/src/core/callers/chunk_decoder.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_CORE_CHUNK_DECODER_H
-#define SISKINSTAGE_CORE_CHUNK_DECODER_H
+#ifndef SISKINSTAGE_CORE_CALLERS_CHUNK_DECODER_H
+#define SISKINSTAGE_CORE_CALLERS_CHUNK_DECODER_H
 
-#include "core/http_refusal.h"
+#include "core/callers/http_refusal.h"
 
 #include <cstdint>
 #include <string>
@@ -41,4 +41,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_CHUNK_DECODER_H
+#endif // SISKINSTAGE_CORE_CALLERS_CHUNK_DECODER_H
--- a/src/core/http_framing.cpp
+++ b/src/core/callers/http_framing.cpp
@@ -1,4 +1,4 @@
-#include "core/http_framing.h"
+#include "core/callers/http_framing.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
--- a/src/core/http_framing.h
+++ b/src/core/callers/http_framing.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_CORE_HTTP_FRAMING_H
-#define SISKINSTAGE_CORE_HTTP_FRAMING_H
+#ifndef SISKINSTAGE_CORE_CALLERS_HTTP_FRAMING_H
+#define SISKINSTAGE_CORE_CALLERS_HTTP_FRAMING_H
 
-#include "core/http_refusal.h"
+#include "core/callers/http_refusal.h"
 
 #include <cstdint>
 #include <string>
@@ -45,4 +45,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_HTTP_FRAMING_H
+#endif // SISKINSTAGE_CORE_CALLERS_HTTP_FRAMING_H
--- a/src/core/http_guard.cpp
+++ b/src/core/callers/http_guard.cpp
@@ -1,4 +1,4 @@
-#include "core/http_guard.h"
+#include "core/callers/http_guard.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
--- a/src/core/http_guard.h
+++ b/src/core/callers/http_guard.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_CORE_HTTP_GUARD_H
-#define SISKINSTAGE_CORE_HTTP_GUARD_H
+#ifndef SISKINSTAGE_CORE_CALLERS_HTTP_GUARD_H
+#define SISKINSTAGE_CORE_CALLERS_HTTP_GUARD_H
 
-#include "core/http_refusal.h"
+#include "core/callers/http_refusal.h"
 
 #include <string>
 #include <string_view>
@@ -33,4 +33,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_HTTP_GUARD_H
+#endif // SISKINSTAGE_CORE_CALLERS_HTTP_GUARD_H
--- a/src/core/http_refusal.h
+++ b/src/core/callers/http_refusal.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_CORE_HTTP_REFUSAL_H
-#define SISKINSTAGE_CORE_HTTP_REFUSAL_H
+#ifndef SISKINSTAGE_CORE_CALLERS_HTTP_REFUSAL_H
+#define SISKINSTAGE_CORE_CALLERS_HTTP_REFUSAL_H
 
 #include <string>
 #include <tl/expected.hpp>
@@ -22,4 +22,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_HTTP_REFUSAL_H
+#endif // SISKINSTAGE_CORE_CALLERS_HTTP_REFUSAL_H
--- a/src/core/gossip_codec.cpp
+++ b/src/core/fleet/gossip_codec.cpp
@@ -1,6 +1,6 @@
-#include "core/gossip_codec.h"
+#include "core/fleet/gossip_codec.h"
 #include "core/address.h"
-#include "core/record_parser.h"
+#include "core/records/record_parser.h"
 #include "siskinstage/config.h"
 
 #include <array>
--- a/src/core/gossip_codec.h
+++ b/src/core/fleet/gossip_codec.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_CORE_GOSSIP_CODEC_H
-#define SISKINSTAGE_CORE_GOSSIP_CODEC_H
+#ifndef SISKINSTAGE_CORE_FLEET_GOSSIP_CODEC_H
+#define SISKINSTAGE_CORE_FLEET_GOSSIP_CODEC_H
 
-#include "core/gossip_message.h"
+#include "core/fleet/gossip_message.h"
 #include "siskinstage/error.h"
 
 #include <json/value.h>
@@ -22,4 +22,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_GOSSIP_CODEC_H
+#endif // SISKINSTAGE_CORE_FLEET_GOSSIP_CODEC_H
--- a/src/core/gossip_message.h
+++ b/src/core/fleet/gossip_message.h
@@ -1,10 +1,10 @@
-#ifndef SISKINSTAGE_CORE_GOSSIP_MESSAGE_H
-#define SISKINSTAGE_CORE_GOSSIP_MESSAGE_H
+#ifndef SISKINSTAGE_CORE_FLEET_GOSSIP_MESSAGE_H
+#define SISKINSTAGE_CORE_FLEET_GOSSIP_MESSAGE_H
 
-#include "core/member.h"
-#include "core/quarantine.h"
-#include "core/rate_limit.h"
-#include "core/report_kind.h"
+#include "core/fleet/member.h"
+#include "core/requests/quarantine.h"
+#include "core/targets/rate_limit.h"
+#include "core/targets/report_kind.h"
 #include "siskinstage/record.h"
 #include "siskinstage/units.h"
 
@@ -93,4 +93,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_GOSSIP_MESSAGE_H
+#endif // SISKINSTAGE_CORE_FLEET_GOSSIP_MESSAGE_H
--- a/src/core/gossip_seal.cpp
+++ b/src/core/fleet/gossip_seal.cpp
@@ -1,4 +1,4 @@
-#include "core/gossip_seal.h"
+#include "core/fleet/gossip_seal.h"
 #include "core/hex.h"
 #include "siskinstage/config.h"
 
--- a/src/core/gossip_seal.h
+++ b/src/core/fleet/gossip_seal.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_CORE_GOSSIP_SEAL_H
-#define SISKINSTAGE_CORE_GOSSIP_SEAL_H
+#ifndef SISKINSTAGE_CORE_FLEET_GOSSIP_SEAL_H
+#define SISKINSTAGE_CORE_FLEET_GOSSIP_SEAL_H
 
-#include "core/key_ring.h"
+#include "core/fleet/key_ring.h"
 #include "siskinstage/error.h"
 #include "siskinstage/units.h"
 
@@ -47,4 +47,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_GOSSIP_SEAL_H
+#endif // SISKINSTAGE_CORE_FLEET_GOSSIP_SEAL_H
--- a/src/core/instance_list.cpp
+++ b/src/core/fleet/instance_list.cpp
@@ -1,6 +1,6 @@
-#include "core/instance_list.h"
+#include "core/fleet/instance_list.h"
 #include "core/address.h"
-#include "core/field_reader.h"
+#include "core/records/field_reader.h"
 
 namespace siskinstage {
 
--- a/src/core/instance_list.h
+++ b/src/core/fleet/instance_list.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_CORE_INSTANCE_LIST_H
-#define SISKINSTAGE_CORE_INSTANCE_LIST_H
+#ifndef SISKINSTAGE_CORE_FLEET_INSTANCE_LIST_H
+#define SISKINSTAGE_CORE_FLEET_INSTANCE_LIST_H
 
 #include "siskinstage/error.h"
 #include "siskinstage/strong_id.h"
@@ -31,4 +31,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_INSTANCE_LIST_H
+#endif // SISKINSTAGE_CORE_FLEET_INSTANCE_LIST_H
--- a/src/core/key_ring.cpp
+++ b/src/core/fleet/key_ring.cpp
@@ -1,4 +1,4 @@
-#include "core/key_ring.h"
+#include "core/fleet/key_ring.h"
 #include "core/hex.h"
 
 #include <Poco/HMACEngine.h>
--- a/src/core/key_ring.h
+++ b/src/core/fleet/key_ring.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_CORE_KEY_RING_H
-#define SISKINSTAGE_CORE_KEY_RING_H
+#ifndef SISKINSTAGE_CORE_FLEET_KEY_RING_H
+#define SISKINSTAGE_CORE_FLEET_KEY_RING_H
 
 #include "siskinstage/error.h"
 
@@ -38,4 +38,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_KEY_RING_H
+#endif // SISKINSTAGE_CORE_FLEET_KEY_RING_H
--- a/src/core/member.cpp
+++ b/src/core/fleet/member.cpp
@@ -1,4 +1,4 @@
-#include "core/member.h"
+#include "core/fleet/member.h"
 
 namespace siskinstage {
 
--- a/src/core/member.h
+++ b/src/core/fleet/member.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_CORE_MEMBER_H
-#define SISKINSTAGE_CORE_MEMBER_H
+#ifndef SISKINSTAGE_CORE_FLEET_MEMBER_H
+#define SISKINSTAGE_CORE_FLEET_MEMBER_H
 
 #include "siskinstage/strong_id.h"
 #include "siskinstage/units.h"
@@ -48,4 +48,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_MEMBER_H
+#endif // SISKINSTAGE_CORE_FLEET_MEMBER_H
--- a/src/core/membership.cpp
+++ b/src/core/fleet/membership.cpp
@@ -1,4 +1,4 @@
-#include "core/membership.h"
+#include "core/fleet/membership.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
--- a/src/core/membership.h
+++ b/src/core/fleet/membership.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_CORE_MEMBERSHIP_H
-#define SISKINSTAGE_CORE_MEMBERSHIP_H
+#ifndef SISKINSTAGE_CORE_FLEET_MEMBERSHIP_H
+#define SISKINSTAGE_CORE_FLEET_MEMBERSHIP_H
 
-#include "core/gossip_message.h"
+#include "core/fleet/gossip_message.h"
 #include "core/random.h"
 
 #include <map>
@@ -180,4 +180,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_MEMBERSHIP_H
+#endif // SISKINSTAGE_CORE_FLEET_MEMBERSHIP_H
--- a/src/core/peer_report.h
+++ b/src/core/fleet/peer_report.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_CORE_PEER_REPORT_H
-#define SISKINSTAGE_CORE_PEER_REPORT_H
+#ifndef SISKINSTAGE_CORE_FLEET_PEER_REPORT_H
+#define SISKINSTAGE_CORE_FLEET_PEER_REPORT_H
 
-#include "core/report_kind.h"
+#include "core/targets/report_kind.h"
 #include "siskinstage/strong_id.h"
 #include "siskinstage/units.h"
 
@@ -20,4 +20,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_PEER_REPORT_H
+#endif // SISKINSTAGE_CORE_FLEET_PEER_REPORT_H
--- a/src/core/steering.cpp
+++ b/src/core/fleet/steering.cpp
@@ -1,4 +1,4 @@
-#include "core/steering.h"
+#include "core/fleet/steering.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
--- a/src/core/steering.h
+++ b/src/core/fleet/steering.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_CORE_STEERING_H
-#define SISKINSTAGE_CORE_STEERING_H
+#ifndef SISKINSTAGE_CORE_FLEET_STEERING_H
+#define SISKINSTAGE_CORE_FLEET_STEERING_H
 
 #include "siskinstage/service_record.h"
 #include "siskinstage/strong_id.h"
@@ -76,4 +76,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_STEERING_H
+#endif // SISKINSTAGE_CORE_FLEET_STEERING_H
--- a/src/core/field_reader.cpp
+++ b/src/core/records/field_reader.cpp
@@ -1,4 +1,4 @@
-#include "core/field_reader.h"
+#include "core/records/field_reader.h"
 
 #include <algorithm>
 #include <json/writer.h>
--- a/src/core/field_reader.h
+++ b/src/core/records/field_reader.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_CORE_FIELD_READER_H
-#define SISKINSTAGE_CORE_FIELD_READER_H
+#ifndef SISKINSTAGE_CORE_RECORDS_FIELD_READER_H
+#define SISKINSTAGE_CORE_RECORDS_FIELD_READER_H
 
 #include <cstdint>
 #include <json/value.h>
@@ -70,4 +70,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_FIELD_READER_H
+#endif // SISKINSTAGE_CORE_RECORDS_FIELD_READER_H
--- a/src/core/readiness.cpp
+++ b/src/core/records/readiness.cpp
@@ -1,4 +1,4 @@
-#include "core/readiness.h"
+#include "core/records/readiness.h"
 #include "siskinstage/config.h"
 
 namespace siskinstage {
--- a/src/core/readiness.h
+++ b/src/core/records/readiness.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_CORE_READINESS_H
-#define SISKINSTAGE_CORE_READINESS_H
+#ifndef SISKINSTAGE_CORE_RECORDS_READINESS_H
+#define SISKINSTAGE_CORE_RECORDS_READINESS_H
 
 #include <cstddef>
 
@@ -33,4 +33,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_READINESS_H
+#endif // SISKINSTAGE_CORE_RECORDS_READINESS_H
--- a/src/core/record_broadcast.cpp
+++ b/src/core/records/record_broadcast.cpp
@@ -1,4 +1,4 @@
-#include "core/record_broadcast.h"
+#include "core/records/record_broadcast.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
--- a/src/core/record_broadcast.h
+++ b/src/core/records/record_broadcast.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_CORE_RECORD_BROADCAST_H
-#define SISKINSTAGE_CORE_RECORD_BROADCAST_H
+#ifndef SISKINSTAGE_CORE_RECORDS_RECORD_BROADCAST_H
+#define SISKINSTAGE_CORE_RECORDS_RECORD_BROADCAST_H
 
-#include "core/member.h"
+#include "core/fleet/member.h"
 #include "core/random.h"
 
 #include <vector>
@@ -26,4 +26,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_RECORD_BROADCAST_H
+#endif // SISKINSTAGE_CORE_RECORDS_RECORD_BROADCAST_H
--- a/src/core/record_parser.cpp
+++ b/src/core/records/record_parser.cpp
@@ -1,6 +1,6 @@
-#include "core/record_parser.h"
+#include "core/records/record_parser.h"
 #include "core/address.h"
-#include "core/record_upgrade.h"
+#include "core/records/record_upgrade.h"
 #include "siskinstage/record_limits.h"
 
 #include <algorithm>
--- a/src/core/record_parser.h
+++ b/src/core/records/record_parser.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_CORE_RECORD_PARSER_H
-#define SISKINSTAGE_CORE_RECORD_PARSER_H
+#ifndef SISKINSTAGE_CORE_RECORDS_RECORD_PARSER_H
+#define SISKINSTAGE_CORE_RECORDS_RECORD_PARSER_H
 
-#include "core/field_reader.h"
+#include "core/records/field_reader.h"
 #include "siskinstage/error.h"
 #include "siskinstage/record.h"
 
@@ -39,4 +39,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_RECORD_PARSER_H
+#endif // SISKINSTAGE_CORE_RECORDS_RECORD_PARSER_H
--- a/src/core/record_store.cpp
+++ b/src/core/records/record_store.cpp
@@ -1,4 +1,4 @@
-#include "core/record_store.h"
+#include "core/records/record_store.h"
 
 #include <algorithm>
 #include <xxhash.h>
--- a/src/core/record_store.h
+++ b/src/core/records/record_store.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_CORE_RECORD_STORE_H
-#define SISKINSTAGE_CORE_RECORD_STORE_H
+#ifndef SISKINSTAGE_CORE_RECORDS_RECORD_STORE_H
+#define SISKINSTAGE_CORE_RECORDS_RECORD_STORE_H
 
 #include "siskinstage/config.h"
 #include "siskinstage/record.h"
@@ -50,4 +50,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_RECORD_STORE_H
+#endif // SISKINSTAGE_CORE_RECORDS_RECORD_STORE_H
--- a/src/core/record_upgrade.cpp
+++ b/src/core/records/record_upgrade.cpp
@@ -1,4 +1,4 @@
-#include "core/record_upgrade.h"
+#include "core/records/record_upgrade.h"
 
 namespace siskinstage {
 
--- a/src/core/record_upgrade.h
+++ b/src/core/records/record_upgrade.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_CORE_RECORD_UPGRADE_H
-#define SISKINSTAGE_CORE_RECORD_UPGRADE_H
+#ifndef SISKINSTAGE_CORE_RECORDS_RECORD_UPGRADE_H
+#define SISKINSTAGE_CORE_RECORDS_RECORD_UPGRADE_H
 
 #include <json/value.h>
 
@@ -13,4 +13,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_RECORD_UPGRADE_H
+#endif // SISKINSTAGE_CORE_RECORDS_RECORD_UPGRADE_H
--- a/src/core/account_limiter.cpp
+++ b/src/core/requests/account_limiter.cpp
@@ -1,4 +1,4 @@
-#include "core/account_limiter.h"
+#include "core/requests/account_limiter.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/core/attempt.cpp
+++ b/src/core/requests/attempt.cpp
@@ -1,4 +1,4 @@
-#include "core/attempt.h"
+#include "core/requests/attempt.h"
 
 namespace siskinstage {
 
--- a/src/core/attempt.h
+++ b/src/core/requests/attempt.h
@@ -1,8 +1,8 @@
-#ifndef SISKINSTAGE_CORE_ATTEMPT_H
-#define SISKINSTAGE_CORE_ATTEMPT_H
+#ifndef SISKINSTAGE_CORE_REQUESTS_ATTEMPT_H
+#define SISKINSTAGE_CORE_REQUESTS_ATTEMPT_H
 
-#include "core/observation.h"
-#include "core/repeatability.h"
+#include "core/requests/repeatability.h"
+#include "core/targets/observation.h"
 #include "siskinstage/outcome.h"
 
 #include <string>
@@ -55,4 +55,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_ATTEMPT_H
+#endif // SISKINSTAGE_CORE_REQUESTS_ATTEMPT_H
--- a/src/core/drain_schedule.cpp
+++ b/src/core/requests/drain_schedule.cpp
@@ -1,4 +1,4 @@
-#include "core/drain_schedule.h"
+#include "core/requests/drain_schedule.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
--- a/src/core/key_table.h
+++ b/src/core/requests/key_table.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_CORE_KEY_TABLE_H
-#define SISKINSTAGE_CORE_KEY_TABLE_H
+#ifndef SISKINSTAGE_CORE_REQUESTS_KEY_TABLE_H
+#define SISKINSTAGE_CORE_REQUESTS_KEY_TABLE_H
 
-#include "core/stored_response.h"
+#include "core/requests/stored_response.h"
 #include "siskinstage/units.h"
 
 #include <cstdint>
@@ -130,4 +130,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_KEY_TABLE_H
+#endif // SISKINSTAGE_CORE_REQUESTS_KEY_TABLE_H
--- a/src/core/pick_backend.cpp
+++ b/src/core/requests/pick_backend.cpp
@@ -1,4 +1,4 @@
-#include "core/pick_backend.h"
+#include "core/requests/pick_backend.h"
 
 namespace siskinstage {
 
--- a/src/core/pick_backend.h
+++ b/src/core/requests/pick_backend.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_CORE_PICK_BACKEND_H
-#define SISKINSTAGE_CORE_PICK_BACKEND_H
+#ifndef SISKINSTAGE_CORE_REQUESTS_PICK_BACKEND_H
+#define SISKINSTAGE_CORE_REQUESTS_PICK_BACKEND_H
 
 #include "core/random.h"
 #include "siskinstage/route_record.h"
@@ -17,4 +17,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_PICK_BACKEND_H
+#endif // SISKINSTAGE_CORE_REQUESTS_PICK_BACKEND_H
--- a/src/core/quarantine.cpp
+++ b/src/core/requests/quarantine.cpp
@@ -1,4 +1,4 @@
-#include "core/quarantine.h"
+#include "core/requests/quarantine.h"
 #include "siskinstage/config.h"
 
 #include <iterator>
--- a/src/core/quarantine.h
+++ b/src/core/requests/quarantine.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_CORE_QUARANTINE_H
-#define SISKINSTAGE_CORE_QUARANTINE_H
+#ifndef SISKINSTAGE_CORE_REQUESTS_QUARANTINE_H
+#define SISKINSTAGE_CORE_REQUESTS_QUARANTINE_H
 
 #include "siskinstage/strong_id.h"
 #include "siskinstage/units.h"
@@ -52,4 +52,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_QUARANTINE_H
+#endif // SISKINSTAGE_CORE_REQUESTS_QUARANTINE_H
--- a/src/core/repeatability.cpp
+++ b/src/core/requests/repeatability.cpp
@@ -1,4 +1,4 @@
-#include "core/repeatability.h"
+#include "core/requests/repeatability.h"
 
 #include <algorithm>
 #include <array>
--- a/src/core/repeatability.h
+++ b/src/core/requests/repeatability.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_CORE_REPEATABILITY_H
-#define SISKINSTAGE_CORE_REPEATABILITY_H
+#ifndef SISKINSTAGE_CORE_REQUESTS_REPEATABILITY_H
+#define SISKINSTAGE_CORE_REQUESTS_REPEATABILITY_H
 
-#include "core/http_refusal.h"
+#include "core/callers/http_refusal.h"
 
 #include <optional>
 #include <string>
@@ -24,4 +24,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_REPEATABILITY_H
+#endif // SISKINSTAGE_CORE_REQUESTS_REPEATABILITY_H
--- a/src/core/request_key.h
+++ b/src/core/requests/request_key.h
@@ -1,9 +1,9 @@
-#ifndef SISKINSTAGE_CORE_REQUEST_KEY_H
-#define SISKINSTAGE_CORE_REQUEST_KEY_H
+#ifndef SISKINSTAGE_CORE_REQUESTS_REQUEST_KEY_H
+#define SISKINSTAGE_CORE_REQUESTS_REQUEST_KEY_H
 
 #include "core/address.h"
-#include "core/http_refusal.h"
-#include "core/key_ring.h"
+#include "core/callers/http_refusal.h"
+#include "core/fleet/key_ring.h"
 #include "siskinstage/units.h"
 
 #include <string>
@@ -37,4 +37,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_REQUEST_KEY_H
+#endif // SISKINSTAGE_CORE_REQUESTS_REQUEST_KEY_H
--- a/src/core/retry_budget.cpp
+++ b/src/core/requests/retry_budget.cpp
@@ -1,4 +1,4 @@
-#include "core/retry_budget.h"
+#include "core/requests/retry_budget.h"
 
 #include <algorithm>
 
--- a/src/core/retry_share.cpp
+++ b/src/core/requests/retry_share.cpp
@@ -1,4 +1,4 @@
-#include "core/retry_share.h"
+#include "core/requests/retry_share.h"
 
 #include <algorithm>
 
--- a/src/core/retry_share.h
+++ b/src/core/requests/retry_share.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_CORE_RETRY_SHARE_H
-#define SISKINSTAGE_CORE_RETRY_SHARE_H
+#ifndef SISKINSTAGE_CORE_REQUESTS_RETRY_SHARE_H
+#define SISKINSTAGE_CORE_REQUESTS_RETRY_SHARE_H
 
 #include "siskinstage/fleet_record.h"
 
@@ -30,4 +30,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_RETRY_SHARE_H
+#endif // SISKINSTAGE_CORE_REQUESTS_RETRY_SHARE_H
--- a/src/core/route_table.cpp
+++ b/src/core/requests/route_table.cpp
@@ -1,4 +1,4 @@
-#include "core/route_table.h"
+#include "core/requests/route_table.h"
 
 #include <algorithm>
 
--- a/src/core/route_table.h
+++ b/src/core/requests/route_table.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_CORE_ROUTE_TABLE_H
-#define SISKINSTAGE_CORE_ROUTE_TABLE_H
+#ifndef SISKINSTAGE_CORE_REQUESTS_ROUTE_TABLE_H
+#define SISKINSTAGE_CORE_REQUESTS_ROUTE_TABLE_H
 
 #include "core/cow_map.h"
 #include "siskinstage/route_record.h"
@@ -38,4 +38,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_ROUTE_TABLE_H
+#endif // SISKINSTAGE_CORE_REQUESTS_ROUTE_TABLE_H
--- a/src/core/stored_response.cpp
+++ b/src/core/requests/stored_response.cpp
@@ -1,4 +1,4 @@
-#include "core/stored_response.h"
+#include "core/requests/stored_response.h"
 
 namespace siskinstage {
 
--- a/src/core/floor.cpp
+++ b/src/core/targets/floor.cpp
@@ -1,4 +1,4 @@
-#include "core/floor.h"
+#include "core/targets/floor.h"
 
 #include <algorithm>
 #include <cstddef>
--- a/src/core/floor.h
+++ b/src/core/targets/floor.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_CORE_FLOOR_H
-#define SISKINSTAGE_CORE_FLOOR_H
+#ifndef SISKINSTAGE_CORE_TARGETS_FLOOR_H
+#define SISKINSTAGE_CORE_TARGETS_FLOOR_H
 
 #include "siskinstage/units.h"
 
@@ -25,4 +25,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_FLOOR_H
+#endif // SISKINSTAGE_CORE_TARGETS_FLOOR_H
--- a/src/core/gray_estimate.cpp
+++ b/src/core/targets/gray_estimate.cpp
@@ -1,4 +1,4 @@
-#include "core/gray_estimate.h"
+#include "core/targets/gray_estimate.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
--- a/src/core/gray_estimate.h
+++ b/src/core/targets/gray_estimate.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_CORE_GRAY_ESTIMATE_H
-#define SISKINSTAGE_CORE_GRAY_ESTIMATE_H
+#ifndef SISKINSTAGE_CORE_TARGETS_GRAY_ESTIMATE_H
+#define SISKINSTAGE_CORE_TARGETS_GRAY_ESTIMATE_H
 
-#include "core/observation.h"
+#include "core/targets/observation.h"
 #include "siskinstage/config.h"
 #include "siskinstage/units.h"
 
@@ -39,4 +39,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_GRAY_ESTIMATE_H
+#endif // SISKINSTAGE_CORE_TARGETS_GRAY_ESTIMATE_H
--- a/src/core/gray_penalty.cpp
+++ b/src/core/targets/gray_penalty.cpp
@@ -1,4 +1,4 @@
-#include "core/gray_penalty.h"
+#include "core/targets/gray_penalty.h"
 #include "siskinstage/config.h"
 
 namespace siskinstage {
--- a/src/core/gray_penalty.h
+++ b/src/core/targets/gray_penalty.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_CORE_GRAY_PENALTY_H
-#define SISKINSTAGE_CORE_GRAY_PENALTY_H
+#ifndef SISKINSTAGE_CORE_TARGETS_GRAY_PENALTY_H
+#define SISKINSTAGE_CORE_TARGETS_GRAY_PENALTY_H
 
-#include "core/repeatability.h"
+#include "core/requests/repeatability.h"
 #include "siskinstage/units.h"
 
 #include <cstdint>
@@ -23,4 +23,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_GRAY_PENALTY_H
+#endif // SISKINSTAGE_CORE_TARGETS_GRAY_PENALTY_H
--- a/src/core/hang_probability.cpp
+++ b/src/core/targets/hang_probability.cpp
@@ -1,4 +1,4 @@
-#include "core/hang_probability.h"
+#include "core/targets/hang_probability.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
--- a/src/core/hang_probability.h
+++ b/src/core/targets/hang_probability.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_CORE_HANG_PROBABILITY_H
-#define SISKINSTAGE_CORE_HANG_PROBABILITY_H
+#ifndef SISKINSTAGE_CORE_TARGETS_HANG_PROBABILITY_H
+#define SISKINSTAGE_CORE_TARGETS_HANG_PROBABILITY_H
 
-#include "core/detection_limits.h"
+#include "core/targets/detection_limits.h"
 #include "siskinstage/units.h"
 
 #include <vector>
@@ -29,4 +29,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_HANG_PROBABILITY_H
+#endif // SISKINSTAGE_CORE_TARGETS_HANG_PROBABILITY_H
--- a/src/core/observation.h
+++ b/src/core/targets/observation.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_CORE_OBSERVATION_H
-#define SISKINSTAGE_CORE_OBSERVATION_H
+#ifndef SISKINSTAGE_CORE_TARGETS_OBSERVATION_H
+#define SISKINSTAGE_CORE_TARGETS_OBSERVATION_H
 
 #include "siskinstage/strong_id.h"
 #include "siskinstage/units.h"
@@ -37,4 +37,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_OBSERVATION_H
+#endif // SISKINSTAGE_CORE_TARGETS_OBSERVATION_H
--- a/src/core/pick.h
+++ b/src/core/targets/pick.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_CORE_PICK_H
-#define SISKINSTAGE_CORE_PICK_H
+#ifndef SISKINSTAGE_CORE_TARGETS_PICK_H
+#define SISKINSTAGE_CORE_TARGETS_PICK_H
 
 #include "core/random.h"
 #include "siskinstage/service_record.h"
@@ -73,4 +73,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_PICK_H
+#endif // SISKINSTAGE_CORE_TARGETS_PICK_H
--- a/src/core/pick_least_in_flight.cpp
+++ b/src/core/targets/pick_least_in_flight.cpp
@@ -1,4 +1,4 @@
-#include "core/pick.h"
+#include "core/targets/pick.h"
 
 #include <algorithm>
 
--- a/src/core/placement.cpp
+++ b/src/core/targets/placement.cpp
@@ -1,6 +1,6 @@
-#include "core/placement.h"
-#include "core/gray_penalty.h"
-#include "core/hang_probability.h"
+#include "core/targets/placement.h"
+#include "core/targets/gray_penalty.h"
+#include "core/targets/hang_probability.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
--- a/src/core/placement.h
+++ b/src/core/targets/placement.h
@@ -1,10 +1,10 @@
-#ifndef SISKINSTAGE_CORE_PLACEMENT_H
-#define SISKINSTAGE_CORE_PLACEMENT_H
+#ifndef SISKINSTAGE_CORE_TARGETS_PLACEMENT_H
+#define SISKINSTAGE_CORE_TARGETS_PLACEMENT_H
 
-#include "core/detection_limits.h"
-#include "core/pick.h"
 #include "core/random.h"
-#include "core/repeatability.h"
+#include "core/requests/repeatability.h"
+#include "core/targets/detection_limits.h"
+#include "core/targets/pick.h"
 #include "siskinstage/config.h"
 #include "siskinstage/units.h"
 
@@ -55,4 +55,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_PLACEMENT_H
+#endif // SISKINSTAGE_CORE_TARGETS_PLACEMENT_H
--- a/src/core/rate_limit.h
+++ b/src/core/targets/rate_limit.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_CORE_RATE_LIMIT_H
-#define SISKINSTAGE_CORE_RATE_LIMIT_H
+#ifndef SISKINSTAGE_CORE_TARGETS_RATE_LIMIT_H
+#define SISKINSTAGE_CORE_TARGETS_RATE_LIMIT_H
 
-#include "core/rate_share.h"
+#include "core/targets/rate_share.h"
 #include "siskinstage/strong_id.h"
 #include "siskinstage/units.h"
 
@@ -99,4 +99,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_RATE_LIMIT_H
+#endif // SISKINSTAGE_CORE_TARGETS_RATE_LIMIT_H
--- a/src/core/rate_share.cpp
+++ b/src/core/targets/rate_share.cpp
@@ -1,4 +1,4 @@
-#include "core/rate_share.h"
+#include "core/targets/rate_share.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
--- a/src/core/rate_share.h
+++ b/src/core/targets/rate_share.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_CORE_RATE_SHARE_H
-#define SISKINSTAGE_CORE_RATE_SHARE_H
+#ifndef SISKINSTAGE_CORE_TARGETS_RATE_SHARE_H
+#define SISKINSTAGE_CORE_TARGETS_RATE_SHARE_H
 
-#include "core/steering.h"
+#include "core/fleet/steering.h"
 
 #include <vector>
 
@@ -44,4 +44,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_RATE_SHARE_H
+#endif // SISKINSTAGE_CORE_TARGETS_RATE_SHARE_H
--- a/src/core/report_kind.h
+++ b/src/core/targets/report_kind.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_CORE_REPORT_KIND_H
-#define SISKINSTAGE_CORE_REPORT_KIND_H
+#ifndef SISKINSTAGE_CORE_TARGETS_REPORT_KIND_H
+#define SISKINSTAGE_CORE_TARGETS_REPORT_KIND_H
 
 namespace siskinstage {
 
@@ -13,4 +13,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_REPORT_KIND_H
+#endif // SISKINSTAGE_CORE_TARGETS_REPORT_KIND_H
--- a/src/core/service_health.cpp
+++ b/src/core/targets/service_health.cpp
@@ -1,5 +1,5 @@
-#include "core/service_health.h"
-#include "core/floor.h"
+#include "core/targets/service_health.h"
+#include "core/targets/floor.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/service_health.h
+++ b/src/core/targets/service_health.h
@@ -1,8 +1,8 @@
-#ifndef SISKINSTAGE_CORE_SERVICE_HEALTH_H
-#define SISKINSTAGE_CORE_SERVICE_HEALTH_H
+#ifndef SISKINSTAGE_CORE_TARGETS_SERVICE_HEALTH_H
+#define SISKINSTAGE_CORE_TARGETS_SERVICE_HEALTH_H
 
-#include "core/gossip_message.h"
-#include "core/target_health.h"
+#include "core/fleet/gossip_message.h"
+#include "core/targets/target_health.h"
 #include "siskinstage/service_record.h"
 
 #include <deque>
@@ -88,4 +88,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_SERVICE_HEALTH_H
+#endif // SISKINSTAGE_CORE_TARGETS_SERVICE_HEALTH_H
--- a/src/core/target_health.cpp
+++ b/src/core/targets/target_health.cpp
@@ -1,4 +1,4 @@
-#include "core/target_health.h"
+#include "core/targets/target_health.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
--- a/src/core/target_health.h
+++ b/src/core/targets/target_health.h
@@ -1,9 +1,9 @@
-#ifndef SISKINSTAGE_CORE_TARGET_HEALTH_H
-#define SISKINSTAGE_CORE_TARGET_HEALTH_H
+#ifndef SISKINSTAGE_CORE_TARGETS_TARGET_HEALTH_H
+#define SISKINSTAGE_CORE_TARGETS_TARGET_HEALTH_H
 
-#include "core/detection_limits.h"
-#include "core/observation.h"
-#include "core/peer_report.h"
+#include "core/fleet/peer_report.h"
+#include "core/targets/detection_limits.h"
+#include "core/targets/observation.h"
 
 #include <cstdint>
 #include <deque>
@@ -98,4 +98,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_TARGET_HEALTH_H
+#endif // SISKINSTAGE_CORE_TARGETS_TARGET_HEALTH_H
--- a/src/core/target_notice.cpp
+++ b/src/core/targets/target_notice.cpp
@@ -1,4 +1,4 @@
-#include "core/target_notice.h"
+#include "core/targets/target_notice.h"
 #include "siskinstage/config.h"
 
 #include <Poco/DateTimeFormat.h>
--- a/src/core/target_notice.h
+++ b/src/core/targets/target_notice.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_CORE_TARGET_NOTICE_H
-#define SISKINSTAGE_CORE_TARGET_NOTICE_H
+#ifndef SISKINSTAGE_CORE_TARGETS_TARGET_NOTICE_H
+#define SISKINSTAGE_CORE_TARGETS_TARGET_NOTICE_H
 
 #include "siskinstage/units.h"
 
@@ -64,4 +64,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_TARGET_NOTICE_H
+#endif // SISKINSTAGE_CORE_TARGETS_TARGET_NOTICE_H
--- a/src/core/target_notices.cpp
+++ b/src/core/targets/target_notices.cpp
@@ -1,4 +1,4 @@
-#include "core/target_notices.h"
+#include "core/targets/target_notices.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/target_notices.h
+++ b/src/core/targets/target_notices.h
@@ -1,8 +1,8 @@
-#ifndef SISKINSTAGE_CORE_TARGET_NOTICES_H
-#define SISKINSTAGE_CORE_TARGET_NOTICES_H
+#ifndef SISKINSTAGE_CORE_TARGETS_TARGET_NOTICES_H
+#define SISKINSTAGE_CORE_TARGETS_TARGET_NOTICES_H
 
-#include "core/rate_limit.h"
-#include "core/target_notice.h"
+#include "core/targets/rate_limit.h"
+#include "core/targets/target_notice.h"
 
 #include <optional>
 
@@ -61,4 +61,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_CORE_TARGET_NOTICES_H
+#endif // SISKINSTAGE_CORE_TARGETS_TARGET_NOTICES_H
--- a/src/ctl/command_check.cpp
+++ b/src/ctl/command_check.cpp
@@ -1,4 +1,4 @@
-#include "core/record_parser.h"
+#include "core/records/record_parser.h"
 #include "ctl/commands.h"
 #include "ctl/table.h"
 
--- a/src/net/http_io.h
+++ b/src/net/http_io.h
@@ -1,9 +1,9 @@
 #ifndef SISKINSTAGE_NET_HTTP_IO_H
 #define SISKINSTAGE_NET_HTTP_IO_H
 
-#include "core/chunk_decoder.h"
-#include "core/http_framing.h"
-#include "core/http_guard.h"
+#include "core/callers/chunk_decoder.h"
+#include "core/callers/http_framing.h"
+#include "core/callers/http_guard.h"
 #include "net/tcp_connection.h"
 
 #include <Poco/Net/HTTPMessage.h>
--- a/src/node/caller_port.cpp
+++ b/src/node/callers/caller_port.cpp
@@ -1,7 +1,7 @@
-#include "node/caller_port.h"
+#include "node/callers/caller_port.h"
 #include "net/boot_time.h"
 #include "node/node_context.h"
-#include "node/request_flow.h"
+#include "node/requests/request_flow.h"
 #include "siskinstage/config.h"
 
 #include <atomic>
--- a/src/node/caller_port.h
+++ b/src/node/callers/caller_port.h
@@ -1,8 +1,8 @@
-#ifndef SISKINSTAGE_NODE_CALLER_PORT_H
-#define SISKINSTAGE_NODE_CALLER_PORT_H
+#ifndef SISKINSTAGE_NODE_CALLERS_CALLER_PORT_H
+#define SISKINSTAGE_NODE_CALLERS_CALLER_PORT_H
 
 #include "net/http_io.h"
-#include "node/connection_handler.h"
+#include "node/callers/connection_handler.h"
 
 namespace siskinstage {
 
@@ -28,4 +28,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_CALLER_PORT_H
+#endif // SISKINSTAGE_NODE_CALLERS_CALLER_PORT_H
--- a/src/node/caller_request.cpp
+++ b/src/node/callers/caller_request.cpp
@@ -1,4 +1,4 @@
-#include "node/caller_request.h"
+#include "node/callers/caller_request.h"
 #include "node/header_names.h"
 #include "siskinstage/config.h"
 
--- a/src/node/caller_request.h
+++ b/src/node/callers/caller_request.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_NODE_CALLER_REQUEST_H
-#define SISKINSTAGE_NODE_CALLER_REQUEST_H
+#ifndef SISKINSTAGE_NODE_CALLERS_CALLER_REQUEST_H
+#define SISKINSTAGE_NODE_CALLERS_CALLER_REQUEST_H
 
-#include "core/http_framing.h"
+#include "core/callers/http_framing.h"
 #include "net/http_io.h"
 #include "node/dialect.h"
 #include "siskinstage/strong_id.h"
@@ -38,4 +38,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_CALLER_REQUEST_H
+#endif // SISKINSTAGE_NODE_CALLERS_CALLER_REQUEST_H
--- a/src/node/connection_server.cpp
+++ b/src/node/callers/connection_server.cpp
@@ -1,6 +1,6 @@
-#include "node/connection_server.h"
+#include "node/callers/connection_server.h"
 #include "net/boot_time.h"
-#include "node/log.h"
+#include "node/operators/log.h"
 #include "siskinstage/config.h"
 
 #include <Poco/Exception.h>
--- a/src/node/connection_server.h
+++ b/src/node/callers/connection_server.h
@@ -1,9 +1,9 @@
-#ifndef SISKINSTAGE_NODE_CONNECTION_SERVER_H
-#define SISKINSTAGE_NODE_CONNECTION_SERVER_H
+#ifndef SISKINSTAGE_NODE_CALLERS_CONNECTION_SERVER_H
+#define SISKINSTAGE_NODE_CALLERS_CONNECTION_SERVER_H
 
 #include "net/tcp_connection.h"
-#include "node/connection_counts.h"
-#include "node/connection_handler.h"
+#include "node/callers/connection_counts.h"
+#include "node/callers/connection_handler.h"
 #include "siskinstage/error.h"
 #include "siskinstage/strong_id.h"
 
@@ -124,4 +124,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_CONNECTION_SERVER_H
+#endif // SISKINSTAGE_NODE_CALLERS_CONNECTION_SERVER_H
--- a/src/node/page_port.cpp
+++ b/src/node/callers/page_port.cpp
@@ -1,4 +1,4 @@
-#include "node/page_port.h"
+#include "node/callers/page_port.h"
 #include "net/boot_time.h"
 #include "net/http_io.h"
 #include "siskinstage/config.h"
--- a/src/node/page_port.h
+++ b/src/node/callers/page_port.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_NODE_PAGE_PORT_H
-#define SISKINSTAGE_NODE_PAGE_PORT_H
+#ifndef SISKINSTAGE_NODE_CALLERS_PAGE_PORT_H
+#define SISKINSTAGE_NODE_CALLERS_PAGE_PORT_H
 
-#include "node/connection_handler.h"
+#include "node/callers/connection_handler.h"
 
 #include <functional>
 #include <string>
@@ -37,4 +37,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_PAGE_PORT_H
+#endif // SISKINSTAGE_NODE_CALLERS_PAGE_PORT_H
--- a/src/node/request_body.cpp
+++ b/src/node/callers/request_body.cpp
@@ -1,4 +1,4 @@
-#include "node/request_body.h"
+#include "node/callers/request_body.h"
 #include "net/boot_time.h"
 #include "node/drain_state.h"
 #include "siskinstage/config.h"
--- a/src/node/response_writer.cpp
+++ b/src/node/callers/response_writer.cpp
@@ -1,4 +1,4 @@
-#include "node/response_writer.h"
+#include "node/callers/response_writer.h"
 #include "net/boot_time.h"
 #include "node/drain_state.h"
 
--- a/src/node/response_writer.h
+++ b/src/node/callers/response_writer.h
@@ -1,10 +1,10 @@
-#ifndef SISKINSTAGE_NODE_RESPONSE_WRITER_H
-#define SISKINSTAGE_NODE_RESPONSE_WRITER_H
+#ifndef SISKINSTAGE_NODE_CALLERS_RESPONSE_WRITER_H
+#define SISKINSTAGE_NODE_CALLERS_RESPONSE_WRITER_H
 
-#include "core/stored_response.h"
+#include "core/requests/stored_response.h"
 #include "net/http_io.h"
-#include "node/caller_request.h"
-#include "node/refusal.h"
+#include "node/callers/caller_request.h"
+#include "node/requests/refusal.h"
 #include "siskinstage/config.h"
 
 namespace siskinstage {
@@ -70,4 +70,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_RESPONSE_WRITER_H
+#endif // SISKINSTAGE_NODE_CALLERS_RESPONSE_WRITER_H
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -1,8 +1,8 @@
 #include "node/decision_loop.h"
 #include "net/boot_time.h"
 #include "node/node_context.h"
-#include "node/service_gate.h"
-#include "node/target_gauge.h"
+#include "node/targets/service_gate.h"
+#include "node/targets/target_gauge.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
--- a/src/node/decision_loop.h
+++ b/src/node/decision_loop.h
@@ -1,11 +1,11 @@
 #ifndef SISKINSTAGE_NODE_DECISION_LOOP_H
 #define SISKINSTAGE_NODE_DECISION_LOOP_H
 
-#include "core/readiness.h"
-#include "core/record_store.h"
-#include "core/retry_share.h"
-#include "core/service_health.h"
-#include "node/config_update.h"
+#include "core/records/readiness.h"
+#include "core/records/record_store.h"
+#include "core/requests/retry_share.h"
+#include "core/targets/service_health.h"
+#include "node/records/config_update.h"
 #include "node/snapshot.h"
 
 #include <map>
--- a/src/node/drain_state.h
+++ b/src/node/drain_state.h
@@ -1,7 +1,7 @@
 #ifndef SISKINSTAGE_NODE_DRAIN_STATE_H
 #define SISKINSTAGE_NODE_DRAIN_STATE_H
 
-#include "core/drain_schedule.h"
+#include "core/requests/drain_schedule.h"
 
 #include <atomic>
 
--- a/src/node/entries_response.cpp
+++ b/src/node/fleet/entries_response.cpp
@@ -1,4 +1,4 @@
-#include "node/entries_response.h"
+#include "node/fleet/entries_response.h"
 #include "net/boot_time.h"
 #include "net/http_client.h"
 #include "node/header_names.h"
--- a/src/node/entries_response.h
+++ b/src/node/fleet/entries_response.h
@@ -1,9 +1,9 @@
-#ifndef SISKINSTAGE_NODE_ENTRIES_RESPONSE_H
-#define SISKINSTAGE_NODE_ENTRIES_RESPONSE_H
+#ifndef SISKINSTAGE_NODE_FLEET_ENTRIES_RESPONSE_H
+#define SISKINSTAGE_NODE_FLEET_ENTRIES_RESPONSE_H
 
-#include "core/http_refusal.h"
-#include "core/stored_response.h"
-#include "node/caller_request.h"
+#include "core/callers/http_refusal.h"
+#include "core/requests/stored_response.h"
+#include "node/callers/caller_request.h"
 #include "node/snapshot.h"
 
 namespace siskinstage {
@@ -22,4 +22,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_ENTRIES_RESPONSE_H
+#endif // SISKINSTAGE_NODE_FLEET_ENTRIES_RESPONSE_H
--- a/src/node/gossip_command.h
+++ b/src/node/fleet/gossip_command.h
@@ -1,8 +1,8 @@
-#ifndef SISKINSTAGE_NODE_GOSSIP_COMMAND_H
-#define SISKINSTAGE_NODE_GOSSIP_COMMAND_H
+#ifndef SISKINSTAGE_NODE_FLEET_GOSSIP_COMMAND_H
+#define SISKINSTAGE_NODE_FLEET_GOSSIP_COMMAND_H
 
-#include "core/gossip_message.h"
-#include "core/record_broadcast.h"
+#include "core/fleet/gossip_message.h"
+#include "core/records/record_broadcast.h"
 
 #include <memory>
 #include <variant>
@@ -65,4 +65,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_GOSSIP_COMMAND_H
+#endif // SISKINSTAGE_NODE_FLEET_GOSSIP_COMMAND_H
--- a/src/node/gossip_loop.h
+++ b/src/node/fleet/gossip_loop.h
@@ -1,9 +1,9 @@
-#ifndef SISKINSTAGE_NODE_GOSSIP_LOOP_H
-#define SISKINSTAGE_NODE_GOSSIP_LOOP_H
+#ifndef SISKINSTAGE_NODE_FLEET_GOSSIP_LOOP_H
+#define SISKINSTAGE_NODE_FLEET_GOSSIP_LOOP_H
 
-#include "core/gossip_seal.h"
-#include "core/membership.h"
-#include "node/gossip_command.h"
+#include "core/fleet/gossip_seal.h"
+#include "core/fleet/membership.h"
+#include "node/fleet/gossip_command.h"
 #include "siskinstage/config.h"
 #include "siskinstage/error.h"
 
@@ -73,4 +73,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_GOSSIP_LOOP_H
+#endif // SISKINSTAGE_NODE_FLEET_GOSSIP_LOOP_H
--- a/src/node/membership_view.h
+++ b/src/node/fleet/membership_view.h
@@ -1,8 +1,8 @@
-#ifndef SISKINSTAGE_NODE_MEMBERSHIP_VIEW_H
-#define SISKINSTAGE_NODE_MEMBERSHIP_VIEW_H
+#ifndef SISKINSTAGE_NODE_FLEET_MEMBERSHIP_VIEW_H
+#define SISKINSTAGE_NODE_FLEET_MEMBERSHIP_VIEW_H
 
-#include "core/membership.h"
-#include "core/steering.h"
+#include "core/fleet/membership.h"
+#include "core/fleet/steering.h"
 
 #include <atomic>
 #include <cstdint>
@@ -29,4 +29,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_MEMBERSHIP_VIEW_H
+#endif // SISKINSTAGE_NODE_FLEET_MEMBERSHIP_VIEW_H
--- a/src/node/peer_api.cpp
+++ b/src/node/fleet/peer_api.cpp
@@ -1,5 +1,5 @@
-#include "node/peer_api.h"
-#include "core/gossip_codec.h"
+#include "node/fleet/peer_api.h"
+#include "core/fleet/gossip_codec.h"
 #include "core/hex.h"
 #include "net/boot_time.h"
 #include "net/http_client.h"
--- a/src/node/peer_api.h
+++ b/src/node/fleet/peer_api.h
@@ -1,9 +1,9 @@
-#ifndef SISKINSTAGE_NODE_PEER_API_H
-#define SISKINSTAGE_NODE_PEER_API_H
+#ifndef SISKINSTAGE_NODE_FLEET_PEER_API_H
+#define SISKINSTAGE_NODE_FLEET_PEER_API_H
 
-#include "core/http_refusal.h"
-#include "core/stored_response.h"
-#include "node/caller_request.h"
+#include "core/callers/http_refusal.h"
+#include "core/requests/stored_response.h"
+#include "node/callers/caller_request.h"
 #include "siskinstage/error.h"
 
 #include <json/value.h>
@@ -34,4 +34,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_PEER_API_H
+#endif // SISKINSTAGE_NODE_FLEET_PEER_API_H
--- a/src/node/watcher_role.cpp
+++ b/src/node/fleet/watcher_role.cpp
@@ -1,4 +1,4 @@
-#include "node/watcher_role.h"
+#include "node/fleet/watcher_role.h"
 #include "net/boot_time.h"
 #include "node/node_context.h"
 #include "siskinstage/config.h"
--- a/src/node/watcher_role.h
+++ b/src/node/fleet/watcher_role.h
@@ -1,8 +1,8 @@
-#ifndef SISKINSTAGE_NODE_WATCHER_ROLE_H
-#define SISKINSTAGE_NODE_WATCHER_ROLE_H
+#ifndef SISKINSTAGE_NODE_FLEET_WATCHER_ROLE_H
+#define SISKINSTAGE_NODE_FLEET_WATCHER_ROLE_H
 
-#include "core/member.h"
-#include "core/steering.h"
+#include "core/fleet/member.h"
+#include "core/fleet/steering.h"
 
 #include <optional>
 #include <vector>
@@ -26,4 +26,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_WATCHER_ROLE_H
+#endif // SISKINSTAGE_NODE_FLEET_WATCHER_ROLE_H
--- a/src/node/log.cpp
+++ b/src/node/operators/log.cpp
@@ -1,4 +1,4 @@
-#include "node/log.h"
+#include "node/operators/log.h"
 
 #include <Poco/DateTimeFormat.h>
 #include <Poco/DateTimeFormatter.h>
--- a/src/node/log.h
+++ b/src/node/operators/log.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_NODE_LOG_H
-#define SISKINSTAGE_NODE_LOG_H
+#ifndef SISKINSTAGE_NODE_OPERATORS_LOG_H
+#define SISKINSTAGE_NODE_OPERATORS_LOG_H
 
 #include "siskinstage/error.h"
 
@@ -38,4 +38,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_LOG_H
+#endif // SISKINSTAGE_NODE_OPERATORS_LOG_H
--- a/src/node/metrics.cpp
+++ b/src/node/operators/metrics.cpp
@@ -1,4 +1,4 @@
-#include "node/metrics.h"
+#include "node/operators/metrics.h"
 
 #include <prometheus/text_serializer.h>
 
--- a/src/node/metrics.h
+++ b/src/node/operators/metrics.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_NODE_METRICS_H
-#define SISKINSTAGE_NODE_METRICS_H
+#ifndef SISKINSTAGE_NODE_OPERATORS_METRICS_H
+#define SISKINSTAGE_NODE_OPERATORS_METRICS_H
 
-#include "core/attempt.h"
+#include "core/requests/attempt.h"
 #include "siskinstage/error.h"
 #include "siskinstage/outcome.h"
 #include "siskinstage/units.h"
@@ -78,4 +78,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_METRICS_H
+#endif // SISKINSTAGE_NODE_OPERATORS_METRICS_H
--- a/src/node/operator_pages.cpp
+++ b/src/node/operators/operator_pages.cpp
@@ -1,9 +1,9 @@
-#include "node/operator_pages.h"
-#include "node/explain_page.h"
+#include "node/operators/operator_pages.h"
 #include "node/node_context.h"
-#include "node/service_gate.h"
+#include "node/operators/state_dump.h"
+#include "node/requests/explain_page.h"
 #include "node/snapshot.h"
-#include "node/state_dump.h"
+#include "node/targets/service_gate.h"
 
 #include <Poco/URI.h>
 #include <json/writer.h>
--- a/src/node/operator_pages.h
+++ b/src/node/operators/operator_pages.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_NODE_OPERATOR_PAGES_H
-#define SISKINSTAGE_NODE_OPERATOR_PAGES_H
+#ifndef SISKINSTAGE_NODE_OPERATORS_OPERATOR_PAGES_H
+#define SISKINSTAGE_NODE_OPERATORS_OPERATOR_PAGES_H
 
-#include "node/page_port.h"
+#include "node/callers/page_port.h"
 
 namespace siskinstage {
 
@@ -13,4 +13,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_OPERATOR_PAGES_H
+#endif // SISKINSTAGE_NODE_OPERATORS_OPERATOR_PAGES_H
--- a/src/node/state_dump.cpp
+++ b/src/node/operators/state_dump.cpp
@@ -1,9 +1,9 @@
-#include "node/state_dump.h"
+#include "node/operators/state_dump.h"
 #include "net/boot_time.h"
 #include "node/node_context.h"
-#include "node/service_gate.h"
 #include "node/snapshot.h"
-#include "node/target_gauge.h"
+#include "node/targets/service_gate.h"
+#include "node/targets/target_gauge.h"
 
 namespace siskinstage {
 
--- a/src/node/state_dump.h
+++ b/src/node/operators/state_dump.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_NODE_STATE_DUMP_H
-#define SISKINSTAGE_NODE_STATE_DUMP_H
+#ifndef SISKINSTAGE_NODE_OPERATORS_STATE_DUMP_H
+#define SISKINSTAGE_NODE_OPERATORS_STATE_DUMP_H
 
 #include <json/value.h>
 
@@ -16,4 +16,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_STATE_DUMP_H
+#endif // SISKINSTAGE_NODE_OPERATORS_STATE_DUMP_H
--- a/src/node/pipe_wakeup.cpp
+++ b/src/node/pipe_wakeup.cpp
@@ -1,5 +1,5 @@
 #include "node/pipe_wakeup.h"
-#include "node/log.h"
+#include "node/operators/log.h"
 
 #include <array>
 #include <cerrno>
--- a/src/node/config_update.h
+++ b/src/node/records/config_update.h
@@ -1,9 +1,9 @@
-#ifndef SISKINSTAGE_NODE_CONFIG_UPDATE_H
-#define SISKINSTAGE_NODE_CONFIG_UPDATE_H
+#ifndef SISKINSTAGE_NODE_RECORDS_CONFIG_UPDATE_H
+#define SISKINSTAGE_NODE_RECORDS_CONFIG_UPDATE_H
 
-#include "core/instance_list.h"
-#include "core/member.h"
-#include "core/peer_report.h"
+#include "core/fleet/instance_list.h"
+#include "core/fleet/member.h"
+#include "core/fleet/peer_report.h"
 #include "siskinstage/record.h"
 
 #include <variant>
@@ -46,4 +46,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_CONFIG_UPDATE_H
+#endif // SISKINSTAGE_NODE_RECORDS_CONFIG_UPDATE_H
--- a/src/node/peer_sync.cpp
+++ b/src/node/records/peer_sync.cpp
@@ -1,10 +1,10 @@
-#include "node/peer_sync.h"
-#include "core/gossip_codec.h"
-#include "core/record_parser.h"
+#include "node/records/peer_sync.h"
+#include "core/fleet/gossip_codec.h"
+#include "core/records/record_parser.h"
 #include "net/boot_time.h"
+#include "node/fleet/peer_api.h"
 #include "node/node_context.h"
-#include "node/peer_api.h"
-#include "node/record_import.h"
+#include "node/records/record_import.h"
 #include "siskinstage/config.h"
 
 #include <Poco/URI.h>
--- a/src/node/peer_sync.h
+++ b/src/node/records/peer_sync.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_NODE_PEER_SYNC_H
-#define SISKINSTAGE_NODE_PEER_SYNC_H
+#ifndef SISKINSTAGE_NODE_RECORDS_PEER_SYNC_H
+#define SISKINSTAGE_NODE_RECORDS_PEER_SYNC_H
 
-#include "node/gossip_command.h"
+#include "node/fleet/gossip_command.h"
 #include "siskinstage/error.h"
 
 namespace siskinstage {
@@ -38,4 +38,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_PEER_SYNC_H
+#endif // SISKINSTAGE_NODE_RECORDS_PEER_SYNC_H
--- a/src/node/platform_client.cpp
+++ b/src/node/records/platform_client.cpp
@@ -1,10 +1,10 @@
-#include "node/platform_client.h"
+#include "node/records/platform_client.h"
 #include "net/boot_time.h"
 #include "net/http_client.h"
 #include "net/json_text.h"
+#include "node/fleet/watcher_role.h"
 #include "node/node_context.h"
-#include "node/record_import.h"
-#include "node/watcher_role.h"
+#include "node/records/record_import.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
--- a/src/node/platform_client.h
+++ b/src/node/records/platform_client.h
@@ -1,8 +1,8 @@
-#ifndef SISKINSTAGE_NODE_PLATFORM_CLIENT_H
-#define SISKINSTAGE_NODE_PLATFORM_CLIENT_H
+#ifndef SISKINSTAGE_NODE_RECORDS_PLATFORM_CLIENT_H
+#define SISKINSTAGE_NODE_RECORDS_PLATFORM_CLIENT_H
 
 #include "core/random.h"
-#include "node/config_update.h"
+#include "node/records/config_update.h"
 #include "siskinstage/error.h"
 
 #include <json/value.h>
@@ -43,4 +43,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_PLATFORM_CLIENT_H
+#endif // SISKINSTAGE_NODE_RECORDS_PLATFORM_CLIENT_H
--- a/src/node/record_import.cpp
+++ b/src/node/records/record_import.cpp
@@ -1,5 +1,5 @@
-#include "node/record_import.h"
-#include "core/record_parser.h"
+#include "node/records/record_import.h"
+#include "core/records/record_parser.h"
 #include "node/node_context.h"
 #include "siskinstage/config.h"
 
--- a/src/node/record_import.h
+++ b/src/node/records/record_import.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_NODE_RECORD_IMPORT_H
-#define SISKINSTAGE_NODE_RECORD_IMPORT_H
+#ifndef SISKINSTAGE_NODE_RECORDS_RECORD_IMPORT_H
+#define SISKINSTAGE_NODE_RECORDS_RECORD_IMPORT_H
 
-#include "node/config_update.h"
+#include "node/records/config_update.h"
 
 #include <json/value.h>
 #include <string>
@@ -25,4 +25,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_RECORD_IMPORT_H
+#endif // SISKINSTAGE_NODE_RECORDS_RECORD_IMPORT_H
--- a/src/node/shared_records.cpp
+++ b/src/node/records/shared_records.cpp
@@ -1,4 +1,4 @@
-#include "node/shared_records.h"
+#include "node/records/shared_records.h"
 
 #include <algorithm>
 #include <mutex>
--- a/src/node/shared_records.h
+++ b/src/node/records/shared_records.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_NODE_SHARED_RECORDS_H
-#define SISKINSTAGE_NODE_SHARED_RECORDS_H
+#ifndef SISKINSTAGE_NODE_RECORDS_SHARED_RECORDS_H
+#define SISKINSTAGE_NODE_RECORDS_SHARED_RECORDS_H
 
-#include "core/record_store.h"
+#include "core/records/record_store.h"
 
 #include <map>
 #include <memory>
@@ -52,4 +52,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_SHARED_RECORDS_H
+#endif // SISKINSTAGE_NODE_RECORDS_SHARED_RECORDS_H
--- a/src/node/sync_queue.h
+++ b/src/node/records/sync_queue.h
@@ -1,8 +1,8 @@
-#ifndef SISKINSTAGE_NODE_SYNC_QUEUE_H
-#define SISKINSTAGE_NODE_SYNC_QUEUE_H
+#ifndef SISKINSTAGE_NODE_RECORDS_SYNC_QUEUE_H
+#define SISKINSTAGE_NODE_RECORDS_SYNC_QUEUE_H
 
 #include "core/bounded_ring.h"
-#include "node/gossip_command.h"
+#include "node/fleet/gossip_command.h"
 
 #include <cstddef>
 #include <optional>
@@ -40,4 +40,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_SYNC_QUEUE_H
+#endif // SISKINSTAGE_NODE_RECORDS_SYNC_QUEUE_H
--- a/src/node/account_gate.cpp
+++ b/src/node/requests/account_gate.cpp
@@ -1,4 +1,4 @@
-#include "node/account_gate.h"
+#include "node/requests/account_gate.h"
 
 #include <algorithm>
 
--- a/src/node/account_gate.h
+++ b/src/node/requests/account_gate.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_NODE_ACCOUNT_GATE_H
-#define SISKINSTAGE_NODE_ACCOUNT_GATE_H
+#ifndef SISKINSTAGE_NODE_REQUESTS_ACCOUNT_GATE_H
+#define SISKINSTAGE_NODE_REQUESTS_ACCOUNT_GATE_H
 
-#include "core/account_limiter.h"
+#include "core/requests/account_limiter.h"
 #include "siskinstage/account_record.h"
 
 #include <array>
@@ -42,4 +42,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_ACCOUNT_GATE_H
+#endif // SISKINSTAGE_NODE_REQUESTS_ACCOUNT_GATE_H
--- a/src/node/dispatcher.cpp
+++ b/src/node/requests/dispatcher.cpp
@@ -1,11 +1,11 @@
-#include "node/dispatcher.h"
-#include "core/hang_probability.h"
+#include "node/requests/dispatcher.h"
+#include "core/targets/hang_probability.h"
 #include "net/boot_time.h"
 #include "node/header_names.h"
 #include "node/node_context.h"
-#include "node/notice_log.h"
-#include "node/service_gate.h"
-#include "node/target_gauge.h"
+#include "node/targets/notice_log.h"
+#include "node/targets/service_gate.h"
+#include "node/targets/target_gauge.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
--- a/src/node/dispatcher.h
+++ b/src/node/requests/dispatcher.h
@@ -1,15 +1,15 @@
-#ifndef SISKINSTAGE_NODE_DISPATCHER_H
-#define SISKINSTAGE_NODE_DISPATCHER_H
-
-#include "core/quarantine.h"
-#include "core/repeatability.h"
-#include "node/caller_request.h"
-#include "node/refusal.h"
-#include "node/request_body.h"
-#include "node/service_gate.h"
+#ifndef SISKINSTAGE_NODE_REQUESTS_DISPATCHER_H
+#define SISKINSTAGE_NODE_REQUESTS_DISPATCHER_H
+
+#include "core/requests/quarantine.h"
+#include "core/requests/repeatability.h"
+#include "node/callers/caller_request.h"
+#include "node/callers/request_body.h"
+#include "node/requests/refusal.h"
 #include "node/snapshot.h"
-#include "node/target_exchange.h"
-#include "node/target_lease.h"
+#include "node/targets/service_gate.h"
+#include "node/targets/target_exchange.h"
+#include "node/targets/target_lease.h"
 
 #include <memory>
 #include <optional>
@@ -143,4 +143,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_DISPATCHER_H
+#endif // SISKINSTAGE_NODE_REQUESTS_DISPATCHER_H
--- a/src/node/explain_page.cpp
+++ b/src/node/requests/explain_page.cpp
@@ -1,8 +1,8 @@
-#include "node/explain_page.h"
-#include "core/repeatability.h"
+#include "node/requests/explain_page.h"
+#include "core/requests/repeatability.h"
 #include "node/node_context.h"
+#include "node/operators/state_dump.h"
 #include "node/snapshot.h"
-#include "node/state_dump.h"
 
 namespace siskinstage {
 
--- a/src/node/explain_page.h
+++ b/src/node/requests/explain_page.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_NODE_EXPLAIN_PAGE_H
-#define SISKINSTAGE_NODE_EXPLAIN_PAGE_H
+#ifndef SISKINSTAGE_NODE_REQUESTS_EXPLAIN_PAGE_H
+#define SISKINSTAGE_NODE_REQUESTS_EXPLAIN_PAGE_H
 
 #include <json/value.h>
 #include <map>
@@ -17,4 +17,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_EXPLAIN_PAGE_H
+#endif // SISKINSTAGE_NODE_REQUESTS_EXPLAIN_PAGE_H
--- a/src/node/key_owner.cpp
+++ b/src/node/requests/key_owner.cpp
@@ -1,4 +1,4 @@
-#include "node/key_owner.h"
+#include "node/requests/key_owner.h"
 #include "net/boot_time.h"
 #include "siskinstage/config.h"
 
--- a/src/node/key_owner.h
+++ b/src/node/requests/key_owner.h
@@ -1,8 +1,8 @@
-#ifndef SISKINSTAGE_NODE_KEY_OWNER_H
-#define SISKINSTAGE_NODE_KEY_OWNER_H
+#ifndef SISKINSTAGE_NODE_REQUESTS_KEY_OWNER_H
+#define SISKINSTAGE_NODE_REQUESTS_KEY_OWNER_H
 
-#include "core/key_table.h"
-#include "core/request_key.h"
+#include "core/requests/key_table.h"
+#include "core/requests/request_key.h"
 
 #include <condition_variable>
 #include <mutex>
@@ -51,4 +51,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_KEY_OWNER_H
+#endif // SISKINSTAGE_NODE_REQUESTS_KEY_OWNER_H
--- a/src/node/owner_forward.cpp
+++ b/src/node/requests/owner_forward.cpp
@@ -1,4 +1,4 @@
-#include "node/owner_forward.h"
+#include "node/requests/owner_forward.h"
 #include "net/boot_time.h"
 #include "node/header_names.h"
 #include "node/node_context.h"
--- a/src/node/owner_forward.h
+++ b/src/node/requests/owner_forward.h
@@ -1,11 +1,11 @@
-#ifndef SISKINSTAGE_NODE_OWNER_FORWARD_H
-#define SISKINSTAGE_NODE_OWNER_FORWARD_H
+#ifndef SISKINSTAGE_NODE_REQUESTS_OWNER_FORWARD_H
+#define SISKINSTAGE_NODE_REQUESTS_OWNER_FORWARD_H
 
-#include "node/caller_request.h"
-#include "node/refusal.h"
-#include "node/request_body.h"
+#include "node/callers/caller_request.h"
+#include "node/callers/request_body.h"
+#include "node/requests/refusal.h"
 #include "node/snapshot.h"
-#include "node/target_exchange.h"
+#include "node/targets/target_exchange.h"
 
 #include <memory>
 #include <tl/expected.hpp>
@@ -44,4 +44,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_OWNER_FORWARD_H
+#endif // SISKINSTAGE_NODE_REQUESTS_OWNER_FORWARD_H
--- a/src/node/quarantine_gate.h
+++ b/src/node/requests/quarantine_gate.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_NODE_QUARANTINE_GATE_H
-#define SISKINSTAGE_NODE_QUARANTINE_GATE_H
+#ifndef SISKINSTAGE_NODE_REQUESTS_QUARANTINE_GATE_H
+#define SISKINSTAGE_NODE_REQUESTS_QUARANTINE_GATE_H
 
-#include "core/quarantine.h"
+#include "core/requests/quarantine.h"
 
 #include <mutex>
 
@@ -32,4 +32,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_QUARANTINE_GATE_H
+#endif // SISKINSTAGE_NODE_REQUESTS_QUARANTINE_GATE_H
--- a/src/node/refusal.cpp
+++ b/src/node/requests/refusal.cpp
@@ -1,4 +1,4 @@
-#include "node/refusal.h"
+#include "node/requests/refusal.h"
 #include "core/random.h"
 #include "net/boot_time.h"
 #include "siskinstage/config.h"
--- a/src/node/refusal.h
+++ b/src/node/requests/refusal.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_NODE_REFUSAL_H
-#define SISKINSTAGE_NODE_REFUSAL_H
+#ifndef SISKINSTAGE_NODE_REQUESTS_REFUSAL_H
+#define SISKINSTAGE_NODE_REQUESTS_REFUSAL_H
 
 #include "siskinstage/error.h"
 #include "siskinstage/outcome.h"
@@ -35,4 +35,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_REFUSAL_H
+#endif // SISKINSTAGE_NODE_REQUESTS_REFUSAL_H
--- a/src/node/request_flow.h
+++ b/src/node/requests/request_flow.h
@@ -1,10 +1,10 @@
-#ifndef SISKINSTAGE_NODE_REQUEST_FLOW_H
-#define SISKINSTAGE_NODE_REQUEST_FLOW_H
+#ifndef SISKINSTAGE_NODE_REQUESTS_REQUEST_FLOW_H
+#define SISKINSTAGE_NODE_REQUESTS_REQUEST_FLOW_H
 
-#include "node/caller_request.h"
-#include "node/dispatcher.h"
-#include "node/request_body.h"
-#include "node/response_writer.h"
+#include "node/callers/caller_request.h"
+#include "node/callers/request_body.h"
+#include "node/callers/response_writer.h"
+#include "node/requests/dispatcher.h"
 #include "node/snapshot.h"
 
 #include <optional>
@@ -79,4 +79,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_REQUEST_FLOW_H
+#endif // SISKINSTAGE_NODE_REQUESTS_REQUEST_FLOW_H
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -1,10 +1,10 @@
 #ifndef SISKINSTAGE_NODE_SETTINGS_H
 #define SISKINSTAGE_NODE_SETTINGS_H
 
-#include "core/key_ring.h"
-#include "core/service_health.h"
+#include "core/fleet/key_ring.h"
+#include "core/targets/service_health.h"
 #include "node/dialect.h"
-#include "node/log.h"
+#include "node/operators/log.h"
 #include "siskinstage/config.h"
 #include "siskinstage/record.h"
 #include "siskinstage/strong_id.h"
--- a/src/node/snapshot.h
+++ b/src/node/snapshot.h
@@ -2,10 +2,10 @@
 #define SISKINSTAGE_NODE_SNAPSHOT_H
 
 #include "core/cow_map.h"
-#include "core/rate_share.h"
-#include "core/route_table.h"
-#include "core/service_health.h"
-#include "core/steering.h"
+#include "core/fleet/steering.h"
+#include "core/requests/route_table.h"
+#include "core/targets/rate_share.h"
+#include "core/targets/service_health.h"
 #include "siskinstage/account_record.h"
 #include "siskinstage/fleet_record.h"
 #include "siskinstage/units.h"
--- a/src/node/connection_pool.cpp
+++ b/src/node/targets/connection_pool.cpp
@@ -1,4 +1,4 @@
-#include "node/connection_pool.h"
+#include "node/targets/connection_pool.h"
 #include "net/boot_time.h"
 #include "siskinstage/config.h"
 
--- a/src/node/connection_pool.h
+++ b/src/node/targets/connection_pool.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_NODE_CONNECTION_POOL_H
-#define SISKINSTAGE_NODE_CONNECTION_POOL_H
+#ifndef SISKINSTAGE_NODE_TARGETS_CONNECTION_POOL_H
+#define SISKINSTAGE_NODE_TARGETS_CONNECTION_POOL_H
 
 #include "net/tcp_connection.h"
 #include "siskinstage/strong_id.h"
@@ -55,4 +55,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_CONNECTION_POOL_H
+#endif // SISKINSTAGE_NODE_TARGETS_CONNECTION_POOL_H
--- a/src/node/notice_fields.cpp
+++ b/src/node/targets/notice_fields.cpp
@@ -1,4 +1,4 @@
-#include "node/notice_fields.h"
+#include "node/targets/notice_fields.h"
 #include "net/http_io.h"
 #include "net/wall_clock.h"
 
--- a/src/node/notice_fields.h
+++ b/src/node/targets/notice_fields.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_NODE_NOTICE_FIELDS_H
-#define SISKINSTAGE_NODE_NOTICE_FIELDS_H
+#ifndef SISKINSTAGE_NODE_TARGETS_NOTICE_FIELDS_H
+#define SISKINSTAGE_NODE_TARGETS_NOTICE_FIELDS_H
 
-#include "core/target_notice.h"
+#include "core/targets/target_notice.h"
 #include "node/dialect.h"
 
 #include <Poco/Net/HTTPResponse.h>
@@ -15,4 +15,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_NOTICE_FIELDS_H
+#endif // SISKINSTAGE_NODE_TARGETS_NOTICE_FIELDS_H
--- a/src/node/notice_log.cpp
+++ b/src/node/targets/notice_log.cpp
@@ -1,7 +1,7 @@
-#include "node/notice_log.h"
-#include "node/log.h"
-#include "node/service_gate.h"
+#include "node/targets/notice_log.h"
+#include "node/operators/log.h"
 #include "node/snapshot.h"
+#include "node/targets/service_gate.h"
 
 namespace siskinstage {
 
--- a/src/node/notice_log.h
+++ b/src/node/targets/notice_log.h
@@ -1,7 +1,7 @@
-#ifndef SISKINSTAGE_NODE_NOTICE_LOG_H
-#define SISKINSTAGE_NODE_NOTICE_LOG_H
+#ifndef SISKINSTAGE_NODE_TARGETS_NOTICE_LOG_H
+#define SISKINSTAGE_NODE_TARGETS_NOTICE_LOG_H
 
-#include "core/target_notices.h"
+#include "core/targets/target_notices.h"
 
 #include <string>
 
@@ -23,4 +23,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_NOTICE_LOG_H
+#endif // SISKINSTAGE_NODE_TARGETS_NOTICE_LOG_H
--- a/src/node/prober.cpp
+++ b/src/node/targets/prober.cpp
@@ -1,12 +1,12 @@
-#include "node/prober.h"
+#include "node/targets/prober.h"
 #include "net/boot_time.h"
 #include "net/http_client.h"
 #include "node/node_context.h"
-#include "node/notice_fields.h"
-#include "node/notice_log.h"
-#include "node/service_gate.h"
 #include "node/snapshot.h"
-#include "node/target_gauge.h"
+#include "node/targets/notice_fields.h"
+#include "node/targets/notice_log.h"
+#include "node/targets/service_gate.h"
+#include "node/targets/target_gauge.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
--- a/src/node/prober.h
+++ b/src/node/targets/prober.h
@@ -1,5 +1,5 @@
-#ifndef SISKINSTAGE_NODE_PROBER_H
-#define SISKINSTAGE_NODE_PROBER_H
+#ifndef SISKINSTAGE_NODE_TARGETS_PROBER_H
+#define SISKINSTAGE_NODE_TARGETS_PROBER_H
 
 #include "core/random.h"
 #include "siskinstage/units.h"
@@ -37,4 +37,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_PROBER_H
+#endif // SISKINSTAGE_NODE_TARGETS_PROBER_H
--- a/src/node/service_gate.cpp
+++ b/src/node/targets/service_gate.cpp
@@ -1,9 +1,9 @@
-#include "node/service_gate.h"
-#include "core/placement.h"
+#include "node/targets/service_gate.h"
+#include "core/targets/placement.h"
 #include "net/boot_time.h"
 #include "node/drain_state.h"
 #include "node/snapshot_holder.h"
-#include "node/target_gauge.h"
+#include "node/targets/target_gauge.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
--- a/src/node/service_gate.h
+++ b/src/node/targets/service_gate.h
@@ -1,13 +1,13 @@
-#ifndef SISKINSTAGE_NODE_SERVICE_GATE_H
-#define SISKINSTAGE_NODE_SERVICE_GATE_H
-
-#include "core/observation.h"
-#include "core/pick.h"
-#include "core/repeatability.h"
-#include "core/retry_budget.h"
-#include "core/retry_share.h"
-#include "core/target_notices.h"
-#include "node/target_lease.h"
+#ifndef SISKINSTAGE_NODE_TARGETS_SERVICE_GATE_H
+#define SISKINSTAGE_NODE_TARGETS_SERVICE_GATE_H
+
+#include "core/requests/repeatability.h"
+#include "core/requests/retry_budget.h"
+#include "core/requests/retry_share.h"
+#include "core/targets/observation.h"
+#include "core/targets/pick.h"
+#include "core/targets/target_notices.h"
+#include "node/targets/target_lease.h"
 #include "siskinstage/units.h"
 
 #include <condition_variable>
@@ -210,4 +210,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_SERVICE_GATE_H
+#endif // SISKINSTAGE_NODE_TARGETS_SERVICE_GATE_H
--- a/src/node/target_exchange.cpp
+++ b/src/node/targets/target_exchange.cpp
@@ -1,6 +1,6 @@
-#include "node/target_exchange.h"
+#include "node/targets/target_exchange.h"
 #include "net/boot_time.h"
-#include "node/notice_fields.h"
+#include "node/targets/notice_fields.h"
 #include "siskinstage/config.h"
 
 #include <Poco/NumberParser.h>
--- a/src/node/target_exchange.h
+++ b/src/node/targets/target_exchange.h
@@ -1,12 +1,12 @@
-#ifndef SISKINSTAGE_NODE_TARGET_EXCHANGE_H
-#define SISKINSTAGE_NODE_TARGET_EXCHANGE_H
+#ifndef SISKINSTAGE_NODE_TARGETS_TARGET_EXCHANGE_H
+#define SISKINSTAGE_NODE_TARGETS_TARGET_EXCHANGE_H
 
-#include "core/attempt.h"
-#include "core/stored_response.h"
-#include "core/target_notice.h"
-#include "node/connection_pool.h"
+#include "core/requests/attempt.h"
+#include "core/requests/stored_response.h"
+#include "core/targets/target_notice.h"
+#include "node/callers/request_body.h"
 #include "node/dialect.h"
-#include "node/request_body.h"
+#include "node/targets/connection_pool.h"
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -129,4 +129,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_TARGET_EXCHANGE_H
+#endif // SISKINSTAGE_NODE_TARGETS_TARGET_EXCHANGE_H
--- a/src/node/target_gauge.h
+++ b/src/node/targets/target_gauge.h
@@ -1,9 +1,9 @@
-#ifndef SISKINSTAGE_NODE_TARGET_GAUGE_H
-#define SISKINSTAGE_NODE_TARGET_GAUGE_H
+#ifndef SISKINSTAGE_NODE_TARGETS_TARGET_GAUGE_H
+#define SISKINSTAGE_NODE_TARGETS_TARGET_GAUGE_H
 
-#include "core/gray_estimate.h"
-#include "core/target_notices.h"
-#include "node/connection_pool.h"
+#include "core/targets/gray_estimate.h"
+#include "core/targets/target_notices.h"
+#include "node/targets/connection_pool.h"
 #include "siskinstage/config.h"
 
 #include <atomic>
@@ -52,4 +52,4 @@
 
 } // namespace siskinstage
 
-#endif // SISKINSTAGE_NODE_TARGET_GAUGE_H
+#endif // SISKINSTAGE_NODE_TARGETS_TARGET_GAUGE_H
--- a/tests/property/health_property_test.cpp
+++ b/tests/property/health_property_test.cpp
@@ -1,5 +1,5 @@
-#include "core/floor.h"
-#include "core/service_health.h"
+#include "core/targets/floor.h"
+#include "core/targets/service_health.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/tests/property/key_table_property_test.cpp
+++ b/tests/property/key_table_property_test.cpp
@@ -1,4 +1,4 @@
-#include "core/key_table.h"
+#include "core/requests/key_table.h"
 
 #include <gtest/gtest.h>
 #include <map>
--- a/tests/standin/platform_main.cpp
+++ b/tests/standin/platform_main.cpp
@@ -7,7 +7,7 @@
 ///   POST /control/instances              replaces the instance list
 ///   POST /control/mode?outage=0|1&stale=V|no&lag_ms=N
 ///   GET  /control/calls                  {"calls","version"} since the start
-#include "core/record_parser.h"
+#include "core/records/record_parser.h"
 #include "net/flag_reader.h"
 #include "standin/control_server.h"
 #include "standin/platform_store.h"
--- a/tests/unit/fleet_share_test.cpp
+++ b/tests/unit/fleet_share_test.cpp
@@ -1,8 +1,8 @@
-#include "core/record_broadcast.h"
-#include "core/retry_budget.h"
-#include "core/retry_share.h"
-#include "core/steering.h"
-#include "node/watcher_role.h"
+#include "core/fleet/steering.h"
+#include "core/records/record_broadcast.h"
+#include "core/requests/retry_budget.h"
+#include "core/requests/retry_share.h"
+#include "node/fleet/watcher_role.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
--- a/tests/unit/gossip_test.cpp
+++ b/tests/unit/gossip_test.cpp
@@ -1,5 +1,5 @@
-#include "core/gossip_codec.h"
-#include "core/gossip_seal.h"
+#include "core/fleet/gossip_codec.h"
+#include "core/fleet/gossip_seal.h"
 #include "net/json_rpc.h"
 #include "siskinstage/config.h"
 
--- a/tests/unit/gray_replay.h
+++ b/tests/unit/gray_replay.h
@@ -1,10 +1,10 @@
 #ifndef SISKINSTAGE_TESTS_UNIT_GRAY_REPLAY_H
 #define SISKINSTAGE_TESTS_UNIT_GRAY_REPLAY_H
 
-#include "core/gray_estimate.h"
-#include "core/hang_probability.h"
-#include "core/pick.h"
-#include "core/placement.h"
+#include "core/targets/gray_estimate.h"
+#include "core/targets/hang_probability.h"
+#include "core/targets/pick.h"
+#include "core/targets/placement.h"
 #include "siskinstage/config.h"
 
 #include <algorithm>
--- a/tests/unit/http_guard_test.cpp
+++ b/tests/unit/http_guard_test.cpp
@@ -1,6 +1,6 @@
-#include "core/chunk_decoder.h"
-#include "core/http_framing.h"
-#include "core/http_guard.h"
+#include "core/callers/chunk_decoder.h"
+#include "core/callers/http_framing.h"
+#include "core/callers/http_guard.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/unit/platform_translation_test.cpp
+++ b/tests/unit/platform_translation_test.cpp
@@ -1,5 +1,5 @@
-#include "core/record_parser.h"
-#include "core/route_table.h"
+#include "core/records/record_parser.h"
+#include "core/requests/route_table.h"
 #include "platform/record_translation.h"
 #include "platform/settings_file.h"
 
--- a/tests/unit/rate_limit_replay.h
+++ b/tests/unit/rate_limit_replay.h
@@ -1,10 +1,10 @@
 #ifndef SISKINSTAGE_TESTS_UNIT_RATE_LIMIT_REPLAY_H
 #define SISKINSTAGE_TESTS_UNIT_RATE_LIMIT_REPLAY_H
 
-#include "core/pick.h"
-#include "core/placement.h"
-#include "core/rate_limit.h"
-#include "core/rate_share.h"
+#include "core/targets/pick.h"
+#include "core/targets/placement.h"
+#include "core/targets/rate_limit.h"
+#include "core/targets/rate_share.h"
 
 #include <algorithm>
 #include <cmath>
--- a/tests/unit/rate_limit_test.cpp
+++ b/tests/unit/rate_limit_test.cpp
@@ -1,4 +1,4 @@
-#include "core/rate_limit.h"
+#include "core/targets/rate_limit.h"
 #include "siskinstage/config.h"
 
 #include <gtest/gtest.h>
--- a/tests/unit/readiness_test.cpp
+++ b/tests/unit/readiness_test.cpp
@@ -1,4 +1,4 @@
-#include "core/readiness.h"
+#include "core/records/readiness.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/unit/record_parser_test.cpp
+++ b/tests/unit/record_parser_test.cpp
@@ -1,6 +1,6 @@
-#include "core/record_parser.h"
-#include "core/record_store.h"
-#include "core/route_table.h"
+#include "core/records/record_parser.h"
+#include "core/records/record_store.h"
+#include "core/requests/route_table.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/unit/refusal_test.cpp
+++ b/tests/unit/refusal_test.cpp
@@ -1,4 +1,4 @@
-#include "node/refusal.h"
+#include "node/requests/refusal.h"
 
 #include <gtest/gtest.h>
 #include <string>
--- a/tests/unit/request_key_test.cpp
+++ b/tests/unit/request_key_test.cpp
@@ -1,4 +1,4 @@
-#include "core/request_key.h"
+#include "core/requests/request_key.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/unit/service_gate_test.cpp
+++ b/tests/unit/service_gate_test.cpp
@@ -1,8 +1,8 @@
 #include "net/boot_time.h"
 #include "node/drain_state.h"
-#include "node/service_gate.h"
 #include "node/snapshot_holder.h"
-#include "node/target_gauge.h"
+#include "node/targets/service_gate.h"
+#include "node/targets/target_gauge.h"
 
 #include <future>
 #include <gtest/gtest.h>
--- a/tests/unit/sync_queue_test.cpp
+++ b/tests/unit/sync_queue_test.cpp
@@ -1,4 +1,4 @@
-#include "node/sync_queue.h"
+#include "node/records/sync_queue.h"
 
 #include <gtest/gtest.h>
 
