--- a/src/core/fleet/member.h
+++ b/src/core/fleet/member.h
@@ -15,6 +15,11 @@
 
 const char *memberStateName(MemberState State);
 
+/// Whether a member in this state may receive messages and requests.
+inline bool isLive(MemberState State) {
+  return State == MemberState::Alive || State == MemberState::Suspect;
+}
+
 /// Version of the claims about a member, SWIM's incarnation number: a claim
 /// with a higher version overrides all older ones about the address. Only the
 /// member itself raises it: when its process starts, when it refutes a claim
