Client accounts by API key: records, directory, check, headers

Requests ran whatever their API key was, and the key went to targets. Where the configuration lists accounts, a request on a route that is not public now needs the key of one: 401 without one, 400 if the header stands there twice. Bundles have accounts with digests of keys, and an immutable directory by digest that is built with the record. Targets get the account's name in a header that the node alone sets, and no key. The priority of a request is in ClientAccount.

--- a/include/siskinstage/bundle_record.h
+++ b/include/siskinstage/bundle_record.h
@@ -4,15 +4,20 @@
 #include "siskinstage/route_record.h"
 #include "siskinstage/service_record.h"
 
+#include <memory>
 #include <vector>
 
 namespace siskinstage {
 
-/// Routes and services that take effect together. A newer bundle of the same
-/// name replaces the whole of the older one.
+class AccountDirectory;
+
+/// Routes, services and client accounts that take effect together. A newer
+/// bundle of the same name replaces the whole of the older one.
 struct BundleRecord {
   std::vector<RouteRecord> Routes;
   std::vector<ServiceRecord> Services;
+  /// Null if the bundle lists no accounts.
+  std::shared_ptr<const AccountDirectory> Accounts;
 };
 
 } // namespace siskinstage
--- a/include/siskinstage/error.h
+++ b/include/siskinstage/error.h
@@ -12,6 +12,7 @@
   Records,
   ReadRequest,
   Route,
+  Account,
   Limit,
   Key,
   Queue,
--- a/include/siskinstage/record_limits.h
+++ b/include/siskinstage/record_limits.h
@@ -15,6 +15,8 @@
 inline constexpr std::uint64_t MaxWeight = 1'000'000;
 inline constexpr std::uint64_t MaxAttempts = 100;
 inline constexpr std::uint64_t MaxPriority = 1'000;
+/// Of rates and bursts of accounts, in requests per second and requests.
+inline constexpr double MaxRate = 1e9;
 inline constexpr double MaxRetryBudget = 1;
 inline constexpr double MaxRetryBurst = 1e6;
 inline constexpr std::size_t MaxNameBytes = 200;
--- a/include/siskinstage/route_record.h
+++ b/include/siskinstage/route_record.h
@@ -36,6 +36,7 @@
   Millis Timeout{};   ///< Upper bound of a request's deadline; zero for none.
   Millis Objective{}; ///< Latency objective; zero for none.
   std::uint32_t Priority = 0; ///< Priority of its requests; 0 is the highest.
+  bool Public = false;        ///< Its requests need no API key.
 };
 
 } // namespace siskinstage
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -14,6 +14,8 @@
     return "read-request";
   case Step::Route:
     return "route";
+  case Step::Account:
+    return "account";
   case Step::Limit:
     return "limit";
   case Step::Key:
--- a/src/core/records/field_reader.cpp
+++ b/src/core/records/field_reader.cpp
@@ -47,7 +47,7 @@
   return this->Path.empty() ? Field : this->Path + "." + Field;
 }
 
-const Json::Value &FieldReader::readField(const std::string &Field) {
+const Json::Value &FieldReader::value(const std::string &Field) {
   this->ReadFields.insert(Field);
   return this->Object[Field];
 }
@@ -59,7 +59,7 @@
 }
 
 std::string FieldReader::requiredText(const std::string &Field) {
-  const Json::Value &Value = this->readField(Field);
+  const Json::Value &Value = this->value(Field);
   if (Value.isString() && !Value.asString().empty())
     return Value.asString();
   this->addFault(Field, "a non-empty string");
@@ -68,7 +68,7 @@
 
 std::string FieldReader::text(const std::string &Field,
                               const std::string &Default) {
-  const Json::Value &Value = this->readField(Field);
+  const Json::Value &Value = this->value(Field);
   if (Value.isNull())
     return Default;
   if (Value.isString())
@@ -90,7 +90,7 @@
 std::uint64_t FieldReader::requiredNumber(const std::string &Field,
                                           std::uint64_t Min,
                                           std::uint64_t Max) {
-  const Json::Value &Value = this->readField(Field);
+  const Json::Value &Value = this->value(Field);
   if (Value.isUInt64() && Value.asUInt64() >= Min && Value.asUInt64() <= Max)
     return Value.asUInt64();
   this->addFault(Field, "a whole number from " + std::to_string(Min) + " to " +
@@ -100,7 +100,7 @@
 
 double FieldReader::real(const std::string &Field, double Default, double Min,
                          double Max) {
-  const Json::Value &Value = this->readField(Field);
+  const Json::Value &Value = this->value(Field);
   if (Value.isNull() && !this->has(Field))
     return Default;
   if (Value.isNumeric() && Value.asDouble() >= Min && Value.asDouble() <= Max)
@@ -111,7 +111,7 @@
 }
 
 std::optional<bool> FieldReader::flag(const std::string &Field) {
-  const Json::Value &Value = this->readField(Field);
+  const Json::Value &Value = this->value(Field);
   if (Value.isBool())
     return Value.asBool();
   if (this->has(Field))
@@ -120,7 +120,7 @@
 }
 
 const Json::Value &FieldReader::list(const std::string &Field, bool Required) {
-  const Json::Value &Value = this->readField(Field);
+  const Json::Value &Value = this->value(Field);
   const bool Missing = !this->has(Field);
   if (Value.isArray() || (Missing && !Required))
     return Value;
@@ -145,7 +145,7 @@
 std::size_t FieldReader::choice(const std::string &Field,
                                 const std::vector<std::string> &Allowed,
                                 std::size_t Default) {
-  const Json::Value &Value = this->readField(Field);
+  const Json::Value &Value = this->value(Field);
   if (!this->has(Field))
     return Default;
   const std::string Text = Value.isString() ? Value.asString() : "";
--- a/src/core/records/field_reader.h
+++ b/src/core/records/field_reader.h
@@ -32,6 +32,8 @@
               std::vector<FieldFault> &Faults);
 
   [[nodiscard]] bool has(const std::string &Field) const;
+  /// The value of \p Field, not validated; null if it is missing.
+  const Json::Value &value(const std::string &Field);
   /// A non-empty string.
   std::string requiredText(const std::string &Field);
   std::string text(const std::string &Field, const std::string &Default);
@@ -63,9 +65,6 @@
   std::string Path;
   std::vector<FieldFault> &Faults;
   std::set<std::string> ReadFields;
-
-  /// The value of \p Field, which is marked as read; null if it is missing.
-  const Json::Value &readField(const std::string &Field);
 };
 
 } // namespace siskinstage
--- a/src/core/records/record_parser.cpp
+++ b/src/core/records/record_parser.cpp
@@ -1,5 +1,7 @@
 #include "core/records/record_parser.h"
 #include "core/address.h"
+#include "core/records/account_reader.h"
+#include "core/records/record_names.h"
 #include "core/records/record_upgrade.h"
 #include "siskinstage/record_limits.h"
 
@@ -17,44 +19,12 @@
 
 using namespace record_limits;
 
-constexpr std::uint64_t MaxConcurrency = 1'000'000;
-constexpr double MaxRate = 1e9;
-
 const std::vector<std::string> KindNames = {"service", "route",  "account",
                                             "fleet",   "target", "bundle"};
 const std::vector<std::string> DetectionNames = {"fast", "careful"};
 const std::vector<std::string> PolicyNames = {
     "random", "round_robin", "least_in_flight", "two_choices", "domain_first"};
 
-bool isNameByte(char Byte) {
-  return std::isalnum(static_cast<unsigned char>(Byte)) != 0 || Byte == '-' ||
-         Byte == '_' || Byte == '.';
-}
-
-bool isName(const std::string &Text) {
-  return !Text.empty() && Text.size() <= MaxNameBytes &&
-         std::all_of(Text.begin(), Text.end(), isNameByte);
-}
-
-std::string readName(FieldReader &Fields, const std::string &Field) {
-  std::string Name = Fields.requiredText(Field);
-  if (!Name.empty() && !isName(Name))
-    Fields.addFault(Field, "up to 200 letters, digits, '-', '_' or '.'");
-  return Name;
-}
-
-/// Reads a name that another system has given, and that only has to be told
-/// apart from others.
-std::string readForeignName(FieldReader &Fields, const std::string &Field) {
-  std::string Name = Fields.requiredText(Field);
-  const bool HasControl =
-      std::any_of(Name.begin(), Name.end(),
-                  [](unsigned char Byte) { return std::iscntrl(Byte) != 0; });
-  if (Name.size() > MaxNameBytes || HasControl)
-    Fields.addFault(Field, "up to 200 bytes without control characters");
-  return Name;
-}
-
 /// Reads all fields of a target except its id.
 TargetSpec readTargetFields(FieldReader &Fields) {
   TargetSpec Target;
@@ -185,6 +155,7 @@
   Route.Objective = Millis(Fields.number("objective_ms", 0, 0, MaxDurationMs));
   Route.Priority =
       static_cast<std::uint32_t>(Fields.number("priority", 0, 0, MaxPriority));
+  Route.Public = Fields.flag("public").value_or(false);
   return Route;
 }
 
@@ -229,18 +200,10 @@
                                [](FieldReader &Part, const std::string &Name) {
                                  return readServiceFields(Part, Name);
                                });
+  Bundle.Accounts = readAccounts(Fields, Reading);
   return Bundle;
 }
 
-AccountRecord readAccount(FieldReader &Fields, const std::string &Name) {
-  AccountRecord Account;
-  Account.Name = AccountName(Name);
-  Account.RatePerSecond = Fields.real("rate_per_s", 0, 0, MaxRate);
-  Account.Concurrency = static_cast<std::uint32_t>(
-      Fields.number("concurrency", 0, 0, MaxConcurrency));
-  return Account;
-}
-
 FleetRecord readFleet(FieldReader &Fields, const std::string &Name) {
   FleetRecord Fleet;
   Fleet.Name = Name;
--- a/src/node/callers/caller_request.cpp
+++ b/src/node/callers/caller_request.cpp
@@ -133,7 +133,7 @@
                            " is empty or longer than 200 bytes");
   Request.RepeatableValue = *RepeatableValue;
   Request.Key = *Key;
-  Request.Account = AccountName(Account->value_or("anonymous"));
+  Request.Account = AccountName(Account->value_or(AnonymousAccount));
   return {};
 }
 
--- a/src/node/callers/caller_request.h
+++ b/src/node/callers/caller_request.h
@@ -13,6 +13,9 @@
 
 namespace siskinstage {
 
+/// Name of the account of requests that state none.
+inline constexpr const char *AnonymousAccount = "anonymous";
+
 /// A caller's request whose head was read and validated.
 struct CallerRequest {
   Poco::Net::HTTPRequest Head;
@@ -22,7 +25,7 @@
   BodyFraming Framing;
   bool Http10 = false;
   bool ExpectContinue = false;
-  AccountName Account;
+  AccountName Account; ///< The one that the request states.
   Instant Arrived;
   std::optional<Millis> TimeLeft; ///< Remaining time that the caller stated.
   std::optional<std::string> RepeatableValue; ///< Of the Repeatable header.
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -165,6 +165,7 @@
     this->TargetSpecs[Target->Service].erase(Target->Spec.Id);
     this->StaleServices.insert(Target->Service);
   } else if (const auto *Bundle = std::get_if<BundleRecord>(&Old.Body)) {
+    this->NextSnapshot.AccountsByKey.reset();
     for (const RouteRecord &Route : Bundle->Routes)
       this->NextSnapshot.Routes.remove(Route);
   }
@@ -204,6 +205,7 @@
 }
 
 void DecisionLoop::applyBundle(const BundleRecord &New) {
+  this->NextSnapshot.AccountsByKey = New.Accounts;
   for (const RouteRecord &Route : New.Routes)
     this->NextSnapshot.Routes.add(Route);
   std::set<ServiceName> InBundle;
--- a/src/node/dialect.h
+++ b/src/node/dialect.h
@@ -17,6 +17,8 @@
   std::string Deadline = header::Deadline; ///< Remaining time in milliseconds.
   std::string Repeatable = header::Repeatable;
   std::string Account = header::Account;
+  std::string ApiKey = header::ApiKey;
+  std::string AccountName = header::AccountName; ///< Set towards targets.
   std::string IdempotencyKey = header::IdempotencyKey;
   std::string Outcome = header::Outcome;
   /// Header whose presence in a target's response means that the request was
--- a/src/node/header_names.h
+++ b/src/node/header_names.h
@@ -8,6 +8,10 @@
 inline constexpr const char *Deadline = "Siskinstage-Deadline-Ms";
 inline constexpr const char *Repeatable = "Siskinstage-Repeatable";
 inline constexpr const char *Account = "Siskinstage-Account";
+/// The API key of a client account.
+inline constexpr const char *ApiKey = "Siskinstage-Api-Key";
+/// Name of the account of the API key, from a node to a target.
+inline constexpr const char *AccountName = "Siskinstage-Account-Name";
 inline constexpr const char *Outcome = "Siskinstage-Outcome";
 inline constexpr const char *RequestId = "Siskinstage-Request-Id";
 inline constexpr const char *Hops = "Siskinstage-Hops";
--- a/src/node/operators/metrics.cpp
+++ b/src/node/operators/metrics.cpp
@@ -31,6 +31,9 @@
                          "Answers of targets given to callers, by status.")),
       Refusals(counters(*this->Registry, "siskinstage_refusals_total",
                         "Answers made by the node, by step and outcome.")),
+      AccountChecks(
+          counters(*this->Registry, "siskinstage_account_checks_total",
+                   "Requests checked for an API key, by result and priority.")),
       AttemptFailures(counters(*this->Registry,
                                "siskinstage_attempt_failures_total",
                                "Tries at targets that failed, by kind.")),
@@ -89,6 +92,12 @@
       .Increment();
 }
 
+void Metrics::countAccountCheck(const char *Result, std::uint32_t Priority) {
+  this->AccountChecks
+      .Add({{"result", Result}, {"priority", std::to_string(Priority)}})
+      .Increment();
+}
+
 void Metrics::countAttemptFailure(AttemptFailure::Kind Kind) {
   this->AttemptFailures.Add({{"kind", attemptFailureName(Kind)}}).Increment();
 }
--- a/src/node/operators/metrics.h
+++ b/src/node/operators/metrics.h
@@ -23,6 +23,8 @@
 
   void countResponse(int Status);
   void countRefusal(Step FailedStep, Outcome Result);
+  /// \param Result why a request is or is not admitted by its API key.
+  void countAccountCheck(const char *Result, std::uint32_t Priority);
   void countAttemptFailure(AttemptFailure::Kind Kind);
   void countRetry();
   void countForward(const char *Result);
@@ -57,6 +59,7 @@
   std::shared_ptr<prometheus::Registry> Registry;
   prometheus::Family<prometheus::Counter> &Responses;
   prometheus::Family<prometheus::Counter> &Refusals;
+  prometheus::Family<prometheus::Counter> &AccountChecks;
   prometheus::Family<prometheus::Counter> &AttemptFailures;
   prometheus::Counter &Retries;
   prometheus::Family<prometheus::Counter> &Forwards;
--- a/src/node/requests/dispatcher.cpp
+++ b/src/node/requests/dispatcher.cpp
@@ -72,6 +72,7 @@
   if (Headers.AddsVia)
     this->OutgoingHead.add("Via", "1.1 siskinstage");
   this->OutgoingHead.set(Headers.RequestId, this->Params.Request->Id.str());
+  setAccountHeaders(this->OutgoingHead, this->Params.Client, Headers);
 }
 
 DispatchResult Dispatcher::refuse(int Status, Step FailedStep, std::string Peer,
--- a/src/node/requests/dispatcher.h
+++ b/src/node/requests/dispatcher.h
@@ -5,6 +5,7 @@
 #include "core/requests/repeatability.h"
 #include "node/callers/caller_request.h"
 #include "node/callers/request_body.h"
+#include "node/requests/account_check.h"
 #include "node/requests/refusal.h"
 #include "node/snapshot.h"
 #include "node/targets/service_gate.h"
@@ -31,6 +32,7 @@
 struct DispatchParams {
   const CallerRequest *Request = nullptr;
   RequestBody *Body = nullptr;
+  ClientAccount Client;
   std::shared_ptr<const ServiceView> Service;
   Repeatability Kind = Repeatability::AtMostOnce;
   RouteLimits Limits;
--- a/src/node/requests/request_flow.cpp
+++ b/src/node/requests/request_flow.cpp
@@ -101,6 +101,17 @@
   return Route.Backends[pickBackend(Route.Backends, Rng)].Service;
 }
 
+bool RequestFlow::checkAccount() {
+  auto Checked =
+      checkClientAccount(this->Context, *this->Current, this->Request);
+  if (!Checked) {
+    this->refuse(Checked.error());
+    return false;
+  }
+  this->Client = std::move(*Checked);
+  return true;
+}
+
 bool RequestFlow::route() {
   const RouteRecord *Route = this->Current->Routes.find(
       this->Request.Host, this->Request.Path, this->Request.Head.getMethod());
@@ -159,6 +170,8 @@
         entriesResponse(this->Context, this->Request, *this->Current));
     return;
   }
+  if (!this->checkAccount())
+    return;
   if (this->Request.Key) {
     const auto Key =
         parseRequestKey(*this->Request.Key, *this->Context.NodeSettings.Keys);
@@ -209,7 +222,7 @@
 
 std::string RequestFlow::keyFingerprintText() const {
   return this->Request.Head.getMethod() + "\n" + this->Request.Host + "\n" +
-         this->Request.Head.getURI() + "\n" + this->Request.Account.str();
+         this->Request.Head.getURI() + "\n" + this->Client.Name.str();
 }
 
 void RequestFlow::serveKeyed(const RequestKey &Key) {
@@ -358,7 +371,7 @@
 
 DispatchResult RequestFlow::dispatchWithinLimits(const std::string &OwnedKey) {
   const AccountRecord *Limited =
-      this->Current->AccountRecords.find(this->Request.Account);
+      this->Current->AccountRecords.find(this->Client.Name);
   if (Limited == nullptr)
     return this->dispatch(OwnedKey);
   const AccountRecord &Account = *Limited;
@@ -387,6 +400,7 @@
   Params.Limits = this->Limits;
   Params.Request = &this->Request;
   Params.Body = &this->Body;
+  Params.Client = this->Client;
   Params.Service = this->Service;
   Params.Kind = this->Kind;
   Params.Deadline = this->Deadline;
--- a/src/node/requests/request_flow.h
+++ b/src/node/requests/request_flow.h
@@ -35,6 +35,7 @@
   ResponseWriter Writer;
   std::shared_ptr<const Snapshot> Current;
   std::shared_ptr<const ServiceView> Service;
+  ClientAccount Client;
   std::optional<bool> RouteRepeatable;
   Repeatability Kind = Repeatability::AtMostOnce;
   RouteLimits Limits;
@@ -42,6 +43,9 @@
 
   /// Handles the request by its path, its key or its route.
   void process();
+  /// Determines the client account. \returns false if it has refused the
+  /// request for its API key.
+  bool checkAccount();
   /// The service of the route; with weighted backends, one drawn at random.
   [[nodiscard]] const ServiceName &
   selectService(const RouteRecord &Route) const;
--- a/src/node/snapshot.h
+++ b/src/node/snapshot.h
@@ -15,6 +15,7 @@
 
 namespace siskinstage {
 
+class AccountDirectory;
 class ServiceGate;
 struct TargetGauge;
 
@@ -59,6 +60,8 @@
   bool HasPlatformRecords = false;
   RouteTable Routes;
   Accounts AccountRecords;
+  /// Null if the configuration lists no accounts with API keys.
+  std::shared_ptr<const AccountDirectory> AccountsByKey;
   Services ServiceViews;
   FleetRecord Fleet;
   std::vector<SteeringNode> LiveNodes;  ///< Including this node.
--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -123,13 +123,17 @@
     def register(self, server, **changes):
         self.store.put(f"servers/{server.id}", server.entry(**changes))
 
-    def configure(self, routes):
+    def configure(self, routes, tenants=None, **changes):
+        """Puts a new configuration into the store. With tenants, a table by
+        name, requests need a key."""
         self.version += 2
-        self.store.put("op/config", {
-            "version": f"{self.version:08x}", "routes": routes,
-            "services": {name: {"health-path": "/health"}
-                         for name in self.services},
-            "limits": {}})
+        config = {"version": f"{self.version:08x}", "routes": routes,
+                  "services": {name: {"health-path": "/health"}
+                               for name in self.services},
+                  "limits": {}}
+        if tenants is not None:
+            config["tenants"] = tenants
+        self.store.put("op/config", {**config, **changes})
 
     def of_service(self, name):
         return [server for server in self.servers if server.service == name]
@@ -184,11 +188,14 @@
         return json.loads(body)["addresses"] if status == 200 else []
 
     def request(self, path, node=None, method="GET", body=None,
-                deadline_ms=5000, attempt=None, connection=None):
-        """Sends a request to a node, on the given connection or a new one."""
+                deadline_ms=5000, attempt=None, connection=None, key=None):
+        """Sends a request to a node, on the given connection or a new one, with
+        the key of a tenant if one is given."""
         self.attempts += 1
         headers = {"Host": HOST, "Deadline-Remaining": str(deadline_ms),
                    "Attempt-Id": attempt or f"a{self.attempts:08x}"}
+        if key is not None:
+            headers["X-Api-Key"] = key
         if connection:
             return exchange(connection, path, method, body, headers)
         return fetch(node or self.nodes[0], FRONT, path, method, body, headers)
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -164,6 +164,7 @@
         self.stated = []   # (time, attempt id, status, notices) of responses
         self.runs = []  # (attempt id, method, path, body) of each run
         self.headers = []
+        self.header_lines = []  # (name, value) of all requests, also repeated
         self.arrivals = 0
         self.arrival_times = []  # (time.monotonic(), attempt id)
         self.connections = 0
@@ -205,6 +206,7 @@
         body = call.rfile.read(length)
         self.arrivals += 1
         self.headers.append(dict(call.headers))
+        self.header_lines.append(call.headers.items())
         attempt = call.headers.get("Attempt-Id", "")
         self.arrival_times.append((time.monotonic(), attempt))
         if call.headers.get("Expect-Instance", self.id) != self.id:
