--- a/tests/unit/platform_translation_test.cpp
+++ b/tests/unit/platform_translation_test.cpp
@@ -91,7 +91,7 @@
 TEST(PlatformTranslation, AConfigurationIsOneBundle) {
   const auto Translated = bundleRecord(configItem(ValidConfig), {});
   ASSERT_TRUE(Translated) << Translated.error().text();
-  const auto Reading = readRecord(*Translated);
+  const auto Reading = readRecord(Translated->Bundle);
   ASSERT_TRUE(Reading.Accepted) << Reading.Faults.front().text();
   const auto &Bundle = std::get<BundleRecord>(Reading.Accepted->Body);
   ASSERT_EQ(Bundle.Routes.size(), 2U);
@@ -133,7 +133,7 @@
            {"\"/health\"", "\"\""}})),
       {});
   ASSERT_TRUE(Translated) << Translated.error().text();
-  const auto Reading = readRecord(*Translated);
+  const auto Reading = readRecord(Translated->Bundle);
   ASSERT_TRUE(Reading.Accepted) << Reading.Faults.front().text();
   const auto &Bundle = std::get<BundleRecord>(Reading.Accepted->Body);
   // No request lasts longer, so that the limit has the same effect.
@@ -148,9 +148,10 @@
        {std::pair("0.9", "0.1"), std::pair("9e12", "1e12"),
         std::pair("4.5", "0.5")}) {
     const auto Reading = readRecord(
-        *bundleRecord(configItem(changedConfig(
-                          {{"90", First}, {"10}", Second + std::string("}")}})),
-                      {}));
+        bundleRecord(configItem(changedConfig(
+                         {{"90", First}, {"10}", Second + std::string("}")}})),
+                     {})
+            ->Bundle);
     ASSERT_TRUE(Reading.Accepted) << Reading.Faults.front().text();
     const auto &Backends =
         std::get<BundleRecord>(Reading.Accepted->Body).Routes[0].Backends;
@@ -164,7 +165,7 @@
   for (std::size_t At = Text.find("h1"); At != std::string::npos;
        At = Text.find("h1", At + 1))
     Text.replace(At, 2, "lab: uploads/ñ");
-  const auto Reading = readRecord(*bundleRecord(configItem(Text), {}));
+  const auto Reading = readRecord(bundleRecord(configItem(Text), {})->Bundle);
   ASSERT_TRUE(Reading.Accepted) << Reading.Faults.front().text();
   const auto &Bundle = std::get<BundleRecord>(Reading.Accepted->Body);
   EXPECT_EQ(Bundle.Routes[0].Backends[0].Service.str(), "lab: uploads/ñ");
@@ -185,7 +186,8 @@
 }
 
 TEST(PlatformTranslation, OnlyPathsBelowAPrefixMatch) {
-  const auto Reading = readRecord(*bundleRecord(configItem(ValidConfig), {}));
+  const auto Reading =
+      readRecord(bundleRecord(configItem(ValidConfig), {})->Bundle);
   RouteTable Routes;
   for (const RouteRecord &Route :
        std::get<BundleRecord>(Reading.Accepted->Body).Routes)
