Forwards to the owner of an idempotency key carry a signed digest of the API key

The key was sent to the peer. The head now has its digest, signed with the fleet's keys for this request, so that a digest is no credential for callers. The owner checks the account in its own configuration, and an account's response is not given to another one. Signing of requests between nodes is one file, which the pages for nodes use too. 401 has WWW-Authenticate, as RFC 9110 demands. Names of the users' platform moved from the test to its stand-ins.

--- a/src/node/callers/response_writer.cpp
+++ b/src/node/callers/response_writer.cpp
@@ -71,6 +71,10 @@
   if (!this->HeaderDialect.Outcome.empty())
     Response.Headers.emplace_back(this->HeaderDialect.Outcome,
                                   outcomeName(Refused.RequestOutcome));
+  if (Refused.Status == HTTPResponse::HTTP_UNAUTHORIZED)
+    Response.Headers.emplace_back("WWW-Authenticate",
+                                  "ApiKey header=\"" +
+                                      this->HeaderDialect.ApiKey + "\"");
   if (Refused.RetryAfter)
     Response.Headers.emplace_back("Retry-After",
                                   this->secondsText(*Refused.RetryAfter));
--- a/src/node/fleet/peer_api.cpp
+++ b/src/node/fleet/peer_api.cpp
@@ -5,6 +5,7 @@
 #include "net/http_client.h"
 #include "net/json_text.h"
 #include "net/wall_clock.h"
+#include "node/fleet/peer_signature.h"
 #include "node/header_names.h"
 #include "node/node_context.h"
 #include "node/snapshot.h"
@@ -18,17 +19,10 @@
 
 namespace {
 
-constexpr std::size_t MacBytes = 16;
 constexpr std::size_t MaxResponseBytes = 64U * 1024 * 1024;
 constexpr std::string_view RequestContext = "siskinstage peer question 1 ";
 constexpr std::string_view ResponseContext = "siskinstage peer answer 1 ";
 
-/// The bytes that the signature of a request covers.
-std::string signedRequestBytes(const std::string &Time,
-                               const std::string &Target) {
-  return std::string(RequestContext) + Time + " " + Target;
-}
-
 /// The bytes that the signature of a response covers; the MAC of the request
 /// binds it to that request.
 std::string signedResponseBytes(const std::string &RequestMac,
@@ -36,26 +30,6 @@
   return std::string(ResponseContext) + RequestMac + " " + Body;
 }
 
-HttpResult<std::string> verifyRequest(NodeContext &Context,
-                                      const CallerRequest &Request) {
-  const std::string Time = Request.Head.get(header::PeerTime, "");
-  const std::string Mac = Request.Head.get(header::PeerMac, "");
-  const auto MacValue = fromHex(Mac);
-  Poco::UInt64 RequestTime = 0;
-  if (!MacValue || MacValue->size() != MacBytes ||
-      !Poco::NumberParser::tryParseUnsigned64(Time, RequestTime) ||
-      !Context.NodeSettings.Keys->verify(
-          signedRequestBytes(Time, Request.Head.getURI()), *MacValue))
-    return refuse(403, "the question is not signed by a node of this fleet");
-  const std::uint64_t Now = wallClockMs();
-  const std::uint64_t ClockDifference =
-      RequestTime > Now ? RequestTime - Now : Now - RequestTime;
-  if (ClockDifference >
-      static_cast<std::uint64_t>(config::GossipClockTolerance.count()))
-    return refuse(403, "the question's time is too far off");
-  return Mac;
-}
-
 Json::Value digestsValue(NodeContext &Context) {
   Json::Value List(Json::arrayValue);
   for (const std::uint64_t Digest : Context.Records.bucketDigests())
@@ -113,7 +87,9 @@
 
 HttpResult<StoredResponse> handlePeerRequest(NodeContext &Context,
                                              const CallerRequest &Request) {
-  const auto RequestMac = verifyRequest(Context, Request);
+  const auto RequestMac =
+      verifyPeerRequest(Request.Head, *Context.NodeSettings.Keys,
+                        RequestContext, Request.Head.getURI(), wallClockMs());
   if (!RequestMac)
     return tl::unexpected<HttpRefusal>(RequestMac.error());
   const Poco::URI Uri(Request.Head.getURI());
@@ -142,7 +118,7 @@
   Response.Reason = "OK";
   Response.Body = compactJson(Value);
   const std::string Mac = Context.NodeSettings.Keys->sign(
-      signedResponseBytes(*RequestMac, Response.Body), MacBytes);
+      signedResponseBytes(*RequestMac, Response.Body), PeerMacBytes);
   Response.Headers = {{"Content-Type", "application/json"},
                       {header::PeerMac, toHex(Mac)}};
   return Response;
@@ -150,12 +126,10 @@
 
 Result<Json::Value> queryPeer(NodeContext &Context, const Address &Peer,
                               const std::string &Target) {
-  const std::string Time = std::to_string(wallClockMs());
-  const std::string Mac = toHex(Context.NodeSettings.Keys->sign(
-      signedRequestBytes(Time, Target), MacBytes));
   Poco::Net::HTTPRequest Request("GET", Target);
-  Request.set(header::PeerTime, Time);
-  Request.set(header::PeerMac, Mac);
+  const std::string Mac =
+      signPeerRequest(Request, *Context.NodeSettings.Keys, RequestContext,
+                      Target, wallClockMs());
   const auto Response = sendOnNewConnection(
       Peer, Request, "", MaxResponseBytes, bootNow() + config::PeerCallTimeout);
   if (!Response)
@@ -165,7 +139,7 @@
     return fail(Step::Forward, Peer.str(),
                 "status " + std::to_string(Response->Head.getStatus()));
   const auto ResponseMac = fromHex(Response->Head.get(header::PeerMac, ""));
-  if (!ResponseMac || ResponseMac->size() != MacBytes ||
+  if (!ResponseMac || ResponseMac->size() != PeerMacBytes ||
       !Context.NodeSettings.Keys->verify(
           signedResponseBytes(Mac, Response->Body), *ResponseMac))
     return fail(Step::Forward, Peer.str(),
--- a/src/node/header_names.h
+++ b/src/node/header_names.h
@@ -19,6 +19,8 @@
 inline constexpr const char *InFlight = "Siskinstage-In-Flight";
 /// Requests per second that a target accepts from all nodes together.
 inline constexpr const char *RateLimit = "Siskinstage-Rate-Limit";
+/// Digest of the API key of a request that one node forwards to another.
+inline constexpr const char *KeyDigest = "Siskinstage-Key-Digest";
 inline constexpr const char *PeerTime = "Siskinstage-Peer-Time";
 inline constexpr const char *PeerMac = "Siskinstage-Peer-Mac";
 inline constexpr const char *IdempotencyKey = "Idempotency-Key";
--- a/src/node/requests/account_check.h
+++ b/src/node/requests/account_check.h
@@ -30,7 +30,9 @@
   /// The configuration lists accounts, so that the headers of the API key and
   /// the account's name are set by the node alone.
   bool KeysRequired = false;
-  /// Digest of the API key; none if no account has it.
+  bool Known = false; ///< An account has the key; targets get its name.
+  /// Digest of the API key, also of an unknown one; none if the request has no
+  /// key, or not a usable one.
   std::optional<KeyDigest> Digest;
 };
 
--- a/src/node/requests/owner_forward.cpp
+++ b/src/node/requests/owner_forward.cpp
@@ -1,7 +1,9 @@
 #include "node/requests/owner_forward.h"
 #include "net/boot_time.h"
+#include "net/wall_clock.h"
 #include "node/header_names.h"
 #include "node/node_context.h"
+#include "node/requests/forwarded_key.h"
 #include "siskinstage/config.h"
 
 namespace siskinstage {
@@ -19,9 +21,10 @@
 
 OwnerForward::OwnerForward(NodeContext &Context, const CallerRequest &Request,
                            RequestBody &Body, const Snapshot &Current,
-                           Instant Deadline)
+                           Instant Deadline,
+                           const std::optional<KeyDigest> &ApiKey)
     : Context(Context), Request(Request), Body(Body), Current(Current),
-      Deadline(Deadline) {}
+      Deadline(Deadline), ApiKey(ApiKey) {}
 
 std::vector<Address> OwnerForward::relays(const Address &Owner) const {
   std::vector<Address> Relays;
@@ -53,6 +56,9 @@
   Head.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
   Head.set(header::Hops, std::to_string(this->Request.Hops + 1));
   Head.setKeepAlive(false);
+  replaceKeyByDigest(Head, this->ApiKey,
+                     this->Context.NodeSettings.HeaderDialect,
+                     *this->Context.NodeSettings.Keys, wallClockMs());
   ExchangeParams Params;
   Params.Head = Head;
   Params.Body = &this->Body;
--- a/src/node/requests/owner_forward.h
+++ b/src/node/requests/owner_forward.h
@@ -7,7 +7,10 @@
 #include "node/snapshot.h"
 #include "node/targets/target_exchange.h"
 
+#include "siskinstage/key_digest.h"
+
 #include <memory>
+#include <optional>
 #include <tl/expected.hpp>
 #include <vector>
 
@@ -20,8 +23,10 @@
 /// since the owner executes the request of a key at most once.
 class OwnerForward {
 public:
+  /// \param ApiKey digest of the request's API key, which is not forwarded.
   OwnerForward(NodeContext &Context, const CallerRequest &Request,
-               RequestBody &Body, const Snapshot &Current, Instant Deadline);
+               RequestBody &Body, const Snapshot &Current, Instant Deadline,
+               const std::optional<KeyDigest> &ApiKey);
 
   /// \returns the owner's response, or a refusal with an unknown outcome.
   tl::expected<std::unique_ptr<TargetExchange>, Refusal>
@@ -33,6 +38,7 @@
   RequestBody &Body;
   const Snapshot &Current;
   Instant Deadline;
+  std::optional<KeyDigest> ApiKey;
   std::string LastReason; ///< Why the last attempt failed.
 
   /// Fleet addresses of the nodes to try as relays.
--- a/src/node/requests/request_flow.cpp
+++ b/src/node/requests/request_flow.cpp
@@ -354,7 +354,7 @@
     return;
   }
   OwnerForward Forward(this->Context, this->Request, this->Body, *this->Current,
-                       this->Deadline);
+                       this->Deadline, this->Client.Digest);
   auto Forwarded = Forward.run(formatAddress(Key.Prefix.Owner));
   if (!Forwarded) {
     this->Context.NodeMetrics.countForward("failed");
--- a/tests/integration/test_accounts.py
+++ b/tests/integration/test_accounts.py
@@ -1,16 +1,20 @@
 """Tests of client accounts on the platform's wire: nodes as processes in front
 of the stand-ins."""
 
+import hashlib
 import json
 import socket
 import unittest
 
-from fleet import wait_for
-from platform_fleet import FRONT, HOST, OPERATOR, PlatformFleet, fetch, route
+from fleet import NODE_PORT, Fleet, send_request, wait_for
+from platform_fleet import (ACCOUNT_NAME, API_KEY, FRONT, HOST, OPERATOR,
+                            REQUEST_ID, PlatformFleet, account, fetch,
+                            key_field, route)
 
 KEYS = {"blue": "key-of-blue-1", "red": "key-of-red-7"}
-TENANTS = {"blue": {"api-keys": [KEYS["blue"], "key-of-blue-2"], "priority": 2},
-           "red": {"api-keys": [KEYS["red"]], "rate-per-s": 500, "burst": 9}}
+ACCOUNTS = {"blue": account(KEYS["blue"], "key-of-blue-2", priority=2),
+            "red": account(KEYS["red"], rate_per_s=500, burst=9)}
+BLUE_KEY, RED_KEY = (f"{API_KEY}: {KEYS[name]}" for name in ("blue", "red"))
 ROUTES = {"r1": route("/reads/", "reads"),
           "r2": route("/orders/", "orders", "unsafe", 2),
           "r3": route("/open/", "reads", public=True)}
@@ -21,10 +25,10 @@
     def setUp(self):
         self.fleet = PlatformFleet(nodes=2).__enter__()
         self.addCleanup(self.fleet.stop)
-        self.put(TENANTS)
+        self.put(ACCOUNTS)
 
-    def put(self, tenants):
-        self.fleet.configure(ROUTES, tenants)
+    def put(self, accounts):
+        self.fleet.configure(ROUTES, accounts)
         for node in self.fleet.nodes:
             wait_for(lambda n=node: self.fleet.request("/orders/0", n)[0] == 401,
                      SPREAD_S, f"the accounts at {node}")
@@ -52,57 +56,57 @@
         return [[(name.lower(), value) for name, value in lines]
                 for server in self.fleet.servers
                 for lines in server.header_lines
-                if any(name.lower() == "attempt-id" for name, _ in lines)]
+                if REQUEST_ID in dict(lines)]
 
-    def assert_servers_got(self, tenants):
-        """Servers got one request for each of the tenants (None: without a
+    def assert_servers_got(self, accounts):
+        """Servers got one request for each of the accounts (None: without a
         name), and no key in any header."""
         names = []
         for lines in self.received():
-            stated = [v for n, v in lines if n == "tenant-name"]
+            stated = [v for n, v in lines if n == ACCOUNT_NAME.lower()]
             self.assertLessEqual(len(stated), 1, lines)
             names.append(stated[0] if stated else None)
-            self.assertNotIn("x-api-key", [name for name, _ in lines])
+            self.assertNotIn(API_KEY.lower(), [name for name, _ in lines])
             for _, value in lines:
                 self.assertNotIn("key-of", value)
-        self.assertEqual(sorted(map(str, names)), sorted(map(str, tenants)))
+        self.assertEqual(sorted(map(str, names)), sorted(map(str, accounts)))
 
     def test_a_request_without_a_known_key_does_not_run(self):
         """Guards against each way to reach a server without a key."""
-        get = ["GET /reads/1 HTTP/1.1", "Attempt-Id: a1"]
+        get = ["GET /reads/1 HTTP/1.1", REQUEST_ID + ": a1"]
         for status, headers in (
-                (401, []), (401, ["X-Api-Key:"]), (401, ["X-Api-Key: other"]),
-                (401, ["X-Api-Key: " + KEYS["blue"] + "x" * 300]),
-                (401, ["X-Api-Key: " + KEYS["blue"] + "," + KEYS["red"]]),
-                (401, ["Tenant-Name: blue"]),
-                (400, ["X-Api-Key: " + KEYS["blue"]] * 2),
-                (400, ["X-Api-Key: " + KEYS["blue"], "x-API-key: z"])):
+                (401, []), (401, [API_KEY + ":"]), (401, [API_KEY + ": other"]),
+                (401, [BLUE_KEY + "x" * 300]),
+                (401, [BLUE_KEY + "," + KEYS["red"]]),
+                (401, [ACCOUNT_NAME + ": blue"]),
+                (400, [BLUE_KEY] * 2),
+                (400, [BLUE_KEY, API_KEY.upper() + ": z"])):
             got, response = self.raw([*get, *headers])
             self.assertEqual(got, status, headers)
             self.assertIn('"outcome":"not-run"', response, headers)
             self.assertNotIn("key-of", response)
         self.assert_servers_got([])
 
-    def test_servers_get_the_tenants_name_and_never_the_key(self):
+    def test_servers_get_the_accounts_name_and_never_the_key(self):
         """Guards against a key, or a name chosen by the caller, that reaches a
         server."""
-        key = "x-aPI-kEY: " + KEYS["red"]
-        forged = ["Tenant-Name: blue", "tenant-NAME: root"]
+        key = API_KEY.swapcase() + ": " + KEYS["red"]
+        forged = [ACCOUNT_NAME + ": blue", ACCOUNT_NAME.upper() + ": root"]
         for number, more in enumerate((
-                [], forged, ["Connection: Tenant-Name, X-Api-Key"],
-                [*forged, "Connection: close, tenant-name"])):
+                [], forged, [f"Connection: {ACCOUNT_NAME}, {API_KEY}"],
+                [*forged, "Connection: close, " + ACCOUNT_NAME.lower()])):
             status, _ = self.raw([f"GET /reads/{number} HTTP/1.1",
-                                  "Attempt-Id: a2", key, *more])
+                                  REQUEST_ID + ": a2", key, *more])
             self.assertEqual(status, 200, more)
         self.assert_servers_got(["red"] * 4)
 
     def test_trailers_and_chunk_extensions_reach_no_server(self):
         """Guards against headers that come after the check."""
-        lines = ["POST /orders/1 HTTP/1.1", "Attempt-Id: a3",
-                 "X-Api-Key: " + KEYS["red"], "Transfer-Encoding: chunked",
-                 "Trailer: Tenant-Name, X-Api-Key"]
-        body = (b"3;x-api-key=key-of-blue-1\r\nlot\r\n0;tenant-name=blue\r\n"
-                b"Tenant-Name: blue\r\nX-Api-Key: key-of-blue-1\r\n\r\n")
+        lines = ["POST /orders/1 HTTP/1.1", REQUEST_ID + ": a3",
+                 RED_KEY, "Transfer-Encoding: chunked",
+                 f"Trailer: {ACCOUNT_NAME}, {API_KEY}"]
+        body = (f"3;{API_KEY}=key-of-blue-1\r\nlot\r\n0;{ACCOUNT_NAME}=blue\r\n"
+                f"{ACCOUNT_NAME}: blue\r\n{BLUE_KEY}\r\n\r\n").encode()
         self.assertEqual(self.raw(lines, body)[0], 200)
         self.assert_servers_got(["red"])
         runs = [run for server in self.fleet.servers for run in server.runs]
@@ -116,33 +120,33 @@
         for server in self.fleet.of_service("reads")[1:]:
             server.behaviour = "shed"
         for number in range(12):
-            self.raw([f"GET /reads/{number} HTTP/1.1", f"Attempt-Id: b{number}",
-                      "X-Api-Key: " + KEYS["red"], "Tenant-Name: blue"])
+            self.raw([f"GET /reads/{number} HTTP/1.1", f"{REQUEST_ID}: b{number}",
+                      RED_KEY, ACCOUNT_NAME + ": blue"])
         sent = self.received()
         self.assertGreater(len(sent), 12)  # some were sent twice
         self.assert_servers_got(["red"] * len(sent))
 
     def test_a_public_route_needs_no_key(self):
         """Guards against a public route that rejects, or lets a name pass."""
-        get = ["GET /open/1 HTTP/1.1", "Attempt-Id: a4", "Tenant-Name: root"]
-        for headers in ([], ["X-Api-Key: key-of-none"],
-                        ["X-Api-Key: " + KEYS["blue"]]):
+        get = ["GET /open/1 HTTP/1.1", REQUEST_ID + ": a4", ACCOUNT_NAME + ": root"]
+        for headers in ([], [API_KEY + ": key-of-none"],
+                        [BLUE_KEY]):
             self.assertEqual(self.raw([*get, *headers])[0], 200)
         self.assert_servers_got([None, None, "blue"])
 
     def test_keys_come_and_go_with_the_configuration(self):
         """Guards against nodes that keep a removed key, and against a key that
         is in a log, a metric or a page."""
-        self.fleet.configure(ROUTES, {"red": {"api-keys": ["key-of-red-8"]}})
+        self.fleet.configure(ROUTES, {"red": account("key-of-red-8")})
         for node in self.fleet.nodes:
             for key, status in (("key-of-red-8", 200), (KEYS["red"], 401),
                                 (KEYS["blue"], 401)):
                 wait_for(lambda n=node, k=key, s=status: self.fleet.request(
                     "/reads/1", n, key=k)[0] == s, SPREAD_S, f"{key} at {node}")
         # Rejected: the key is held twice.
-        self.fleet.configure(ROUTES, {name: {"api-keys": ["key-of-two"]}
+        self.fleet.configure(ROUTES, {name: account("key-of-two")
                                       for name in ("a", "b")})
-        wait_for(lambda: any("tenants.b.api-keys[0]" in self.fleet.log_of(node)
+        wait_for(lambda: any(key_field("b", 0) in self.fleet.log_of(node)
                              for node in self.fleet.nodes), SPREAD_S,
                  "a log line that names the field")
         for node in self.fleet.nodes:
@@ -156,5 +160,49 @@
                       'result="unknown-key"}', metrics)
 
 
+class ForwardedRequests(unittest.TestCase):
+    """On the own interface, where nodes forward requests to the owner of their
+    idempotency key."""
+
+    def setUp(self):
+        self.fleet = Fleet(nodes=2).__enter__()
+        self.addCleanup(self.fleet.stop)
+        self.fleet.publish([{
+            "schema": 2, "kind": "bundle", "name": "accounts", "revision": 1,
+            "routes": [], "services": [],
+            "accounts": [{"name": name, "key_digests":
+                          [hashlib.sha256(key.encode()).hexdigest()[:32]]}
+                         for name, key in KEYS.items()]}])
+        for index in (0, 1):
+            wait_for(lambda i=index: self.send(i, "", None)[0] == 401, SPREAD_S,
+                     f"the accounts at node {index}")
+
+    def send(self, index, idempotency_key, name, **headers):
+        if idempotency_key:
+            headers["Idempotency-Key"] = idempotency_key
+        if name:
+            headers["Siskinstage-Api-Key"] = KEYS[name]
+        return send_request(NODE_PORT + index, "POST", "/allocations/7", "lot",
+                            10, headers)
+
+    def test_the_owner_of_an_idempotency_key_checks_the_account(self):
+        """Guards against a forward that loses the account, and against a
+        response that is given to another account."""
+        _, body = send_request(NODE_PORT, "GET", "/.siskinstage/v1/entries"
+                               "?service=allocation&account=a")
+        key = json.loads(body)["key_prefix"] + ".sale-1"
+        digest = hashlib.sha256(KEYS["blue"].encode()).hexdigest()[:32]
+        for index in (0, 1):
+            for headers in ({}, {"Siskinstage-Key-Digest": digest},
+                            {"Siskinstage-Key-Digest": digest,
+                             "Siskinstage-Hops": "1"}):
+                self.assertEqual(self.send(index, key, None, **headers)[0], 401)
+        self.assertEqual(self.fleet.ledger().get(key, 0), 0)
+        for index in (1, 0, 1):
+            self.assertEqual(self.send(index, key, "blue")[0], 200)
+            self.assertEqual(self.send(index, key, "red")[0], 422)
+        self.assertEqual(self.fleet.ledger()[key], 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -19,6 +19,7 @@
 HOST = "shop.example"
 BOUNDS = {"drain-s": 2, "grace-s": 6, "config-apply-s": 2,
           "retry-budget-ratio": 0.2, "retry-burst": 56}
+REQUEST_ID, API_KEY, ACCOUNT_NAME = "Attempt-Id", "X-Api-Key", "Tenant-Name"
 
 
 def route(prefix, service, kind="safe", timeout=1.5, **more):
@@ -27,6 +28,18 @@
                  "max-attempts": 2, "service": service}, **more)
 
 
+def account(*keys, **limits):
+    """A client account with its API keys; the limits are priority, rate_per_s
+    and burst."""
+    return {"api-keys": list(keys),
+            **{name.replace("_", "-"): value for name, value in limits.items()}}
+
+
+def key_field(name, index):
+    """The field of an account's API key, as log lines name it."""
+    return f"tenants.{name}.api-keys[{index}]"
+
+
 def fill_in(word, values):
     """A word of a command with its placeholders filled in: lists are joined by
     commas, tables are rendered as JSON."""
@@ -123,16 +136,16 @@
     def register(self, server, **changes):
         self.store.put(f"servers/{server.id}", server.entry(**changes))
 
-    def configure(self, routes, tenants=None, **changes):
-        """Puts a new configuration into the store. With tenants, a table by
-        name, requests need a key."""
+    def configure(self, routes, accounts=None, **changes):
+        """Puts a new configuration into the store. With accounts, a table by
+        name, requests need an API key."""
         self.version += 2
         config = {"version": f"{self.version:08x}", "routes": routes,
                   "services": {name: {"health-path": "/health"}
                                for name in self.services},
                   "limits": {}}
-        if tenants is not None:
-            config["tenants"] = tenants
+        if accounts is not None:
+            config["tenants"] = accounts
         self.store.put("op/config", {**config, **changes})
 
     def of_service(self, name):
@@ -190,12 +203,12 @@
     def request(self, path, node=None, method="GET", body=None,
                 deadline_ms=5000, attempt=None, connection=None, key=None):
         """Sends a request to a node, on the given connection or a new one, with
-        the key of a tenant if one is given."""
+        an API key if one is given."""
         self.attempts += 1
         headers = {"Host": HOST, "Deadline-Remaining": str(deadline_ms),
                    "Attempt-Id": attempt or f"a{self.attempts:08x}"}
         if key is not None:
-            headers["X-Api-Key"] = key
+            headers[API_KEY] = key
         if connection:
             return exchange(connection, path, method, body, headers)
         return fetch(node or self.nodes[0], FRONT, path, method, body, headers)
