--- a/src/core/fleet/gossip_codec.cpp
+++ b/src/core/fleet/gossip_codec.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::size_t MaxNameBytes = 200;
 constexpr std::size_t MaxUpdates = 64;
+/// No machine runs longer without a restart; larger values would overflow.
+constexpr Millis MaxViewAge = std::chrono::years(100);
 /// The first version has no capacity and no flag for an unreachable platform.
 constexpr Json::ArrayIndex FirstVersionMemberFields = 7;
 constexpr Json::ArrayIndex MemberFields = 9;
@@ -77,6 +79,19 @@
     this->Output["n"] = toJson(Body.State.Version);
     this->Output["l"] = Body.State.PerSecond;
   }
+  void operator()(const ConfirmationRequest &Body) const {
+    this->Output["k"] = "confirm";
+    this->Output["s"] = toJson(Body.Sequence);
+    this->Output["o"] = toJson(Body.StoreRevision.Value);
+  }
+  void operator()(const ConfirmationResponse &Body) const {
+    this->Output["k"] = "confirmed";
+    this->Output["s"] = toJson(Body.Sequence);
+    this->Output["r"] = toJson(Body.Applied.Value);
+    if (Body.Age)
+      this->Output["a"] = static_cast<Json::Int64>(Body.Age->count());
+    this->Output["o"] = toJson(Body.StoreRevision.Value);
+  }
   void operator()(const CrashReport &Body) const {
     this->Output["k"] = "crash";
     this->Output["s"] = toJson(Body.Fingerprint.Value);
@@ -150,6 +165,34 @@
                          {Value["n"].asUInt64(), Rate}};
 }
 
+Result<GossipBody> readConfirmationRequest(const Json::Value &Value) {
+  if (!Value["s"].isUInt64())
+    return malformed("s");
+  if (!Value["o"].isUInt64())
+    return malformed("o");
+  return ConfirmationRequest{Value["s"].asUInt64(), {Value["o"].asUInt64()}};
+}
+
+Result<GossipBody> readConfirmationResponse(const Json::Value &Value) {
+  if (!Value["s"].isUInt64())
+    return malformed("s");
+  if (!Value["r"].isUInt64())
+    return malformed("r");
+  if (!Value["o"].isUInt64())
+    return malformed("o");
+  ConfirmationResponse Response = {Value["s"].asUInt64(),
+                                   {Value["r"].asUInt64()},
+                                   std::nullopt,
+                                   {Value["o"].asUInt64()}};
+  if (!Value.isMember("a"))
+    return Response;
+  if (!Value["a"].isInt64() || Value["a"].asInt64() < 0 ||
+      Value["a"].asInt64() > MaxViewAge.count())
+    return malformed("a");
+  Response.Age = Millis(Value["a"].asInt64());
+  return Response;
+}
+
 Result<GossipBody> readBody(const Json::Value &Value) {
   if (!isText(Value["k"]))
     return malformed("k");
@@ -162,6 +205,10 @@
     return readGrayEstimateUpdate(Value);
   if (Kind == "limit")
     return readRateLimitUpdate(Value);
+  if (Kind == "confirm")
+    return readConfirmationRequest(Value);
+  if (Kind == "confirmed")
+    return readConfirmationResponse(Value);
   if (!Value["s"].isUInt64())
     return malformed("s");
   const std::uint64_t Sequence = Value["s"].asUInt64();
--- a/src/core/fleet/gossip_message.h
+++ b/src/core/fleet/gossip_message.h
@@ -9,6 +9,7 @@
 #include "siskinstage/units.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -69,9 +70,28 @@
   TargetId Target;
 };
 
+/// Requests the age of the receiver's confirmed view (see ConfirmedView).
+struct ConfirmationRequest {
+  std::uint64_t Sequence = 0;
+  /// Highest revision of the platform's store that the sender has seen.
+  Revision StoreRevision;
+};
+
+/// Responds to a ConfirmationRequest.
+struct ConfirmationResponse {
+  std::uint64_t Sequence = 0; ///< Of the request.
+  /// Revision of the configuration's record that is applied at the sender.
+  Revision Applied;
+  /// Age of the sender's view, never less than it is; nothing if unconfirmed.
+  std::optional<Millis> Age;
+  /// Highest revision of the platform's store that the sender has seen.
+  Revision StoreRevision;
+};
+
 using GossipBody =
     std::variant<Ping, PingRequest, Ack, RecordUpdate, TargetReport,
-                 GrayEstimateUpdate, CrashReport, RateLimitUpdate>;
+                 GrayEstimateUpdate, CrashReport, RateLimitUpdate,
+                 ConfirmationRequest, ConfirmationResponse>;
 
 /// Digest that a node sends while it lacks the records of the platform.
 inline constexpr std::uint64_t NoRecordsDigest = 0;
--- a/tests/unit/gossip_test.cpp
+++ b/tests/unit/gossip_test.cpp
@@ -31,7 +31,10 @@
       TargetReport{ServiceName("s"), TargetId("t"), ReportKind::Failing, 2},
       GrayEstimateUpdate{ServiceName("s"), TargetId("t"), 93},
       CrashReport{{9}, TargetId("t")},
-      RateLimitUpdate{ServiceName("s"), TargetId("t"), {8}, {3, 0.25}}};
+      RateLimitUpdate{ServiceName("s"), TargetId("t"), {8}, {3, 0.25}},
+      ConfirmationRequest{~0ULL, {7}},
+      ConfirmationResponse{~0ULL, {6}, Millis(1'250), {7}},
+      ConfirmationResponse{1, {6}, std::nullopt, {7}}};
   for (const GossipBody &Body : Bodies) {
     const GossipMessage Sent = sample(Body);
     const std::string Text = gossipNotification(encodeGossip(Sent));
@@ -77,6 +80,33 @@
   }
 }
 
+/// Guards against a malformed age that makes a configuration look newer than it
+/// is.
+TEST(GossipCodec, RefusesMalformedConfirmations) {
+  const Json::Value Request = encodeGossip(sample(ConfirmationRequest{1, {7}}));
+  const Json::Value Response =
+      encodeGossip(sample(ConfirmationResponse{1, {6}, Millis(5), {7}}));
+  ASSERT_TRUE(decodeGossip(Request));
+  ASSERT_TRUE(decodeGossip(Response));
+  for (const Json::Value &Invalid :
+       {Json::Value(-1), Json::Value("1"), Json::Value(1.5), Json::Value(true),
+        Json::Value()}) {
+    for (const char *Field : {"s", "o"}) {
+      Json::Value Changed = Request;
+      Changed[Field] = Invalid;
+      EXPECT_FALSE(decodeGossip(Changed)) << Field << Invalid.toStyledString();
+    }
+    for (const char *Field : {"s", "r", "a", "o"}) {
+      Json::Value Changed = Response;
+      Changed[Field] = Invalid;
+      EXPECT_FALSE(decodeGossip(Changed)) << Field << Invalid.toStyledString();
+    }
+  }
+  Json::Value Endless = Response;
+  Endless["a"] = static_cast<Json::Int64>(1LL << 62U);
+  EXPECT_FALSE(decodeGossip(Endless));
+}
+
 TEST(GossipCodec, AFullMessageFitsIntoADatagram) {
   GossipMessage Message = sample(Ping{1ULL << 40U});
   Message.Updates.assign(config::GossipUpdatesPerMessage + 1,
