Fleet record: revocation_limit_ms, from the platform's bounds

Cause: the platform states with revoke-everywhere and revoke-s how long a revoked key may be of use; nodes ignored both. Change: the bounds set revocation_limit_ms of the fleet record. A malformed value, or revoke-everywhere without a time, is an error that names the bound.

--- a/include/siskinstage/fleet_record.h
+++ b/include/siskinstage/fleet_record.h
@@ -2,6 +2,7 @@
 #define SISKINSTAGE_FLEET_RECORD_H
 
 #include "siskinstage/config.h"
+#include "siskinstage/units.h"
 
 #include <cstddef>
 #include <string>
@@ -18,6 +19,9 @@
   double RetryBurst = 0;
   /// Entry nodes that the callers of one account are steered to.
   std::size_t EntriesPerAccount = config::EntriesPerAccount;
+  /// Longest time after which no node runs requests with a revoked API key;
+  /// zero for no limit.
+  Millis RevocationLimit{};
 };
 
 } // namespace siskinstage
--- a/include/siskinstage/record_limits.h
+++ b/include/siskinstage/record_limits.h
@@ -20,6 +20,8 @@
 inline constexpr double MaxRetryBudget = 1;
 inline constexpr double MaxRetryBurst = 1e6;
 inline constexpr std::size_t MaxNameBytes = 200;
+/// A day; a configuration in force for longer needs no limit.
+inline constexpr std::uint64_t MaxRevocationLimitMs = 86'400'000;
 /// Of timeouts, objectives and warm-ups: no request lasts longer.
 inline constexpr std::uint64_t MaxDurationMs =
     static_cast<std::uint64_t>(config::MaxDeadline.count());
--- a/src/core/records/record_parser.cpp
+++ b/src/core/records/record_parser.cpp
@@ -212,6 +212,8 @@
   Fleet.RetryBurst = Fields.real("retry_burst", 0, 0, MaxRetryBurst);
   Fleet.EntriesPerAccount =
       Fields.number("entries_per_account", config::EntriesPerAccount, 1, 64);
+  Fleet.RevocationLimit =
+      Millis(Fields.number("revocation_limit_ms", 0, 0, MaxRevocationLimitMs));
   return Fleet;
 }
 
--- a/tests/unit/platform_translation_test.cpp
+++ b/tests/unit/platform_translation_test.cpp
@@ -238,6 +238,39 @@
   EXPECT_FALSE(readBounds("drain-s=2")->Grace);
 }
 
+/// Guards against a fleet that takes no notice of the time for revoked keys.
+TEST(PlatformTranslation, BoundsGiveTheRevocationLimit) {
+  const auto LimitOf = [](const char *Text) {
+    const auto Reading = readRecord(fleetRecord(*readBounds(Text)));
+    return std::get<FleetRecord>(Reading.Accepted->Body).RevocationLimit;
+  };
+  EXPECT_EQ(LimitOf(R"({"revoke-everywhere":true,"revoke-s":5})"),
+            Millis(5'000));
+  EXPECT_EQ(LimitOf("revoke-everywhere=true,revoke-s=2.5"), Millis(2'500));
+  EXPECT_EQ(LimitOf(R"({"revoke-s":5})"), Millis(0));
+  EXPECT_EQ(LimitOf(R"({"revoke-everywhere":false,"revoke-s":5})"), Millis(0));
+  EXPECT_EQ(LimitOf("drain-s=2"), Millis(0));
+}
+
+TEST(PlatformTranslation, AMalformedRevocationLimitIsNamed) {
+  for (const char *Text :
+       {R"({"revoke-everywhere":1,"revoke-s":5})",
+        R"({"revoke-everywhere":null})", "revoke-everywhere=yes,revoke-s=5"}) {
+    const auto Bounds = readBounds(Text);
+    ASSERT_FALSE(Bounds) << Text;
+    EXPECT_EQ(Bounds.error().Peer, "bounds.revoke-everywhere") << Text;
+  }
+  for (const char *Text :
+       {R"({"revoke-everywhere":true})",
+        R"({"revoke-everywhere":true,"revoke-s":0})",
+        R"({"revoke-everywhere":true,"revoke-s":1e9})", "revoke-s=soon",
+        R"({"revoke-everywhere":true,"revoke-s":true})"}) {
+    const auto Bounds = readBounds(Text);
+    ASSERT_FALSE(Bounds) << Text;
+    EXPECT_EQ(Bounds.error().Peer, "bounds.revoke-s") << Text;
+  }
+}
+
 TEST(PlatformTranslation, LargeBoundsAreThoseOfRecords) {
   const auto Reading = readRecord(
       fleetRecord(*readBounds("retry-budget-ratio=1.5,retry-burst=1e12")));
