Nodes confirm their configuration by reads and polls

Cause: a pending watch or a digest shows no age of a configuration. A node whose view is too old while others may have a younger one is no entry and names itself in no directory response. /state and a metric show the age. No read or message is made unless a limit is set and accounts are listed.

--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -291,8 +291,13 @@
               return Left.Endpoint < Right.Endpoint;
             });
   this->NextSnapshot.LiveNodes = std::move(Live);
-  auto Entries = domainEntries(this->NextSnapshot.LiveNodes,
-                               this->Context.NodeSettings.EntriesPerDomain);
+  std::vector<SteeringNode> Candidates = this->NextSnapshot.LiveNodes;
+  if (Batch.SelfWithdrawn)
+    std::erase_if(Candidates, [this](const SteeringNode &Node) {
+      return Node.Endpoint == this->Context.NodeSettings.FleetAddress;
+    });
+  auto Entries =
+      domainEntries(Candidates, this->Context.NodeSettings.EntriesPerDomain);
   this->logEntryChange(Entries);
   this->NextSnapshot.EntryNodes = std::move(Entries);
   for (auto &[Name, Service] : this->Services) {
@@ -500,7 +505,14 @@
   ++this->NextSnapshot.Version;
   this->NextSnapshot.HighestRevision = this->records().highest();
   this->NextSnapshot.RecordCount = this->records().all().size();
+  if (const auto &Required = this->Context.NodeSettings.RequiredRecord)
+    this->NextSnapshot.ConfigRevision =
+        this->Context.Records.revision(*Required);
   this->Context.Snapshots.set(std::make_shared<Snapshot>(this->NextSnapshot));
+  // After the snapshot: requests must see the revision that is confirmed.
+  this->Context.ConfigView.with([this](ConfirmedView &View) {
+    View.setApplied(this->NextSnapshot.ConfigRevision);
+  });
   this->Context.NodeMetrics.setHighestRevision(
       static_cast<double>(this->NextSnapshot.HighestRevision.Value));
   this->SnapshotChanged = false;
--- a/src/node/fleet/entries_response.cpp
+++ b/src/node/fleet/entries_response.cpp
@@ -95,14 +95,14 @@
   Json::Value Body(Json::objectValue);
   Json::Value &List = Body["entries"] = Json::Value(Json::arrayValue);
   const Address &Own = Context.NodeSettings.FleetAddress;
-  if (!Context.Drain.active())
+  if (Context.namesItself())
     List.append(entryJson(Own, Context.NodeSettings.Domain));
   for (const SteeringNode &Node : Entries)
     if (Node.Endpoint != Own)
       List.append(entryJson(Node.Endpoint, Node.Domain));
   Body["ttl_ms"] = static_cast<Json::Int64>(config::EntriesTtl.count());
   const auto Prefix =
-      Context.Drain.active()
+      !Context.namesItself()
           ? std::nullopt
           : Context.Keys.prefixForNewKeys(*Context.NodeSettings.Keys);
   Body["key_prefix"] = Prefix ? Json::Value(*Prefix) : Json::Value();
@@ -133,7 +133,7 @@
       Entries.begin(), Entries.end(), [&](const SteeringNode &Node) {
         return Node.Endpoint == Context.NodeSettings.FleetAddress;
       });
-  if ((!IsEntry || Context.Drain.active()) && Request.Hops == 0)
+  if ((!IsEntry || !Context.namesItself()) && Request.Hops == 0)
     if (auto Response = forwardToEntries(Entries, Request))
       return std::move(*Response);
   return ownResponse(Context, Entries);
--- a/src/node/fleet/gossip_loop.cpp
+++ b/src/node/fleet/gossip_loop.cpp
@@ -50,7 +50,8 @@
 
 GossipLoop::GossipLoop(NodeContext &Context, std::uint64_t Seed)
     : Context(Context), Members(selfOf(Context), Seed), RandomSource(Seed + 1),
-      Seal(*Context.NodeSettings.Keys, Context.Keys.process()) {}
+      Seal(*Context.NodeSettings.Keys, Context.Keys.process()),
+      Confirmations(Context, Seed + 2) {}
 
 Result<std::unique_ptr<GossipLoop>> GossipLoop::start(NodeContext &Context,
                                                       std::uint64_t Seed) {
@@ -81,6 +82,8 @@
     this->executeCommands();
     const Instant Now = bootNow();
     this->send(this->Members.tick(Now));
+    if (const auto Request = this->Confirmations.tick(Now))
+      this->send(Request->first, this->Members.compose(Request->second));
     if (this->Context.Drain.active() && !this->LeaveSent) {
       this->LeaveSent = true;
       this->send(this->Members.leave(Now));
@@ -142,6 +145,13 @@
     this->handleRateLimit(*Limit, Message.From);
   else if (const auto *Crash = std::get_if<CrashReport>(&Message.Body))
     this->handleCrash(*Crash);
+  else if (const auto *Request =
+               std::get_if<ConfirmationRequest>(&Message.Body))
+    this->send(Message.From.Endpoint,
+               this->Members.compose(this->Confirmations.respond(*Request)));
+  else if (const auto *Response =
+               std::get_if<ConfirmationResponse>(&Message.Body))
+    this->Confirmations.handle(*Response, Message.From);
   else
     this->compareDigests(Message);
 }
@@ -302,7 +312,9 @@
 }
 
 void GossipLoop::publishView(Instant Now) {
-  const bool Changed = this->Members.version() != this->PublishedVersion;
+  this->EntryChanged |= this->Confirmations.takeEntryChange();
+  const bool Changed =
+      this->EntryChanged || this->Members.version() != this->PublishedVersion;
   const bool SuspectsChanged =
       this->Members.suspectVersion() != this->PublishedSuspectVersion;
   if (Now < (Changed || SuspectsChanged ? this->NextChangePublish
@@ -320,8 +332,10 @@
   View->Stats = this->Members.stats();
   this->Context.Members.store(View);
   if (Changed || this->PublishedVersion == 0)
-    if (!this->Context.tryPostUpdate(MemberBatch{View->Live}))
+    if (!this->Context.tryPostUpdate(
+            MemberBatch{View->Live, this->Context.ConfigView.withdrawn()}))
       return; // Retried with the next view.
+  this->EntryChanged = false;
   this->PublishedVersion = this->Members.version();
 }
 
--- a/src/node/fleet/gossip_loop.h
+++ b/src/node/fleet/gossip_loop.h
@@ -3,6 +3,7 @@
 
 #include "core/fleet/gossip_seal.h"
 #include "core/fleet/membership.h"
+#include "node/fleet/confirmation_exchange.h"
 #include "node/fleet/gossip_command.h"
 #include "siskinstage/config.h"
 #include "siskinstage/error.h"
@@ -35,8 +36,10 @@
   Membership Members;
   Random RandomSource;
   GossipSeal Seal;
+  ConfirmationExchange Confirmations;
   std::uint64_t PublishedVersion = 0;
   std::uint64_t PublishedSuspectVersion = 0;
+  bool EntryChanged = false; ///< Not published yet.
   /// Earliest time to publish a view without changes.
   Instant NextPublish;
   /// Earliest time to publish a view with changes.
--- a/src/node/fleet/watcher_role.cpp
+++ b/src/node/fleet/watcher_role.cpp
@@ -28,7 +28,7 @@
   return Chosen;
 }
 
-std::optional<std::size_t> watcherRank(const NodeContext &Context) {
+std::optional<std::size_t> watcherPosition(const NodeContext &Context) {
   const Instant Received{Duration(Context.LastGossip.load())};
   if (bootNow() - Received > config::GossipSilenceTimeout)
     return 0;
@@ -40,10 +40,16 @@
       });
   if (Own == Chosen.end())
     return std::nullopt;
+  return static_cast<std::size_t>(Own - Chosen.begin());
+}
+
+std::optional<std::size_t> watcherRank(const NodeContext &Context) {
+  const auto Position = watcherPosition(Context);
   // In a small fleet all watchers read without a delay.
-  if (View->Live.size() <= config::SmallFleetNodes)
+  if (Position &&
+      Context.Members.load()->Live.size() <= config::SmallFleetNodes)
     return 0;
-  return static_cast<std::size_t>(Own - Chosen.begin());
+  return Position;
 }
 
 } // namespace siskinstage
--- a/src/node/fleet/watcher_role.h
+++ b/src/node/fleet/watcher_role.h
@@ -17,6 +17,11 @@
 /// can't read it at present, which keep trying.
 std::vector<SteeringNode> selectWatchers(const std::vector<Member> &Live);
 
+/// This node's position among the watchers, from 0; also 0 for a node that
+/// received no gossip for config::GossipSilenceTimeout, as no other node could
+/// then send it changes. \returns nothing if this node is no watcher.
+std::optional<std::size_t> watcherPosition(const NodeContext &Context);
+
 /// This node's rank among the watchers: 0 reads the platform without a delay.
 /// It is 0 for the first watcher, for all watchers of a small fleet, and for a
 /// node that received no gossip for config::GossipSilenceTimeout, as no other
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -7,6 +7,7 @@
 #include "node/drain_state.h"
 #include "node/fleet/gossip_command.h"
 #include "node/fleet/membership_view.h"
+#include "node/fleet/shared_confirmed_view.h"
 #include "node/operators/metrics.h"
 #include "node/pipe_wakeup.h"
 #include "node/records/config_update.h"
@@ -49,6 +50,7 @@
   SharedRecords Records;
   std::atomic<std::shared_ptr<const MembershipView>> Members;
   GossipTraffic Traffic;
+  SharedConfirmedView ConfigView;
   std::atomic<std::uint64_t> GroupEjections{0};
   /// When the last valid gossip message of another node was received, in ticks
   /// of the boot clock.
@@ -62,6 +64,10 @@
 
   /// Whether callers' requests are accepted.
   [[nodiscard]] bool ready() const;
+  /// Whether this node names itself to callers that ask for entries.
+  [[nodiscard]] bool namesItself() const {
+    return !this->Drain.active() && !this->ConfigView.withdrawn();
+  }
   /// Creates an id that is unique in the fleet.
   RequestId newRequestId();
   /// Passes an observation to the decision thread; if the ring is full, it is
--- a/src/node/operators/metrics.cpp
+++ b/src/node/operators/metrics.cpp
@@ -75,6 +75,10 @@
                             "Highest revision in force.")),
       KeyCount(gauge(*this->Registry, "siskinstage_keys",
                      "Idempotency keys in the owner table.")),
+      ConfigViewAge(
+          gauge(*this->Registry, "siskinstage_config_view_age_seconds",
+                "Age of the confirmed view of the configuration, -1 if it is "
+                "not confirmed.")),
       TargetCounts(
           BuildGauge()
               .Name("siskinstage_targets")
@@ -150,6 +154,10 @@
 
 void Metrics::setKeyCount(double Count) { this->KeyCount.Set(Count); }
 
+void Metrics::setConfigViewAge(double Seconds) {
+  this->ConfigViewAge.Set(Seconds);
+}
+
 void Metrics::setTargetCounts(const std::string &Service, double Admitted,
                               double Suspected, double Idle, double Limited,
                               double LeftAlone) {
--- a/src/node/operators/metrics.h
+++ b/src/node/operators/metrics.h
@@ -44,6 +44,8 @@
   void setObservationsLost(double Count);
   void setHighestRevision(double Highest);
   void setKeyCount(double Count);
+  /// \param Seconds age of the confirmed view; negative if there is none.
+  void setConfigViewAge(double Seconds);
   /// \param Admitted targets of \p Service that may get requests.
   /// \param Suspected those of them that are suspected of a gray failure.
   /// \param Idle those of them to which this node has sent no request for
@@ -76,6 +78,7 @@
   prometheus::Gauge &ObservationsLost;
   prometheus::Gauge &HighestRevision;
   prometheus::Gauge &KeyCount;
+  prometheus::Gauge &ConfigViewAge;
   prometheus::Family<prometheus::Gauge> &TargetCounts;
 };
 
--- a/src/node/operators/operator_pages.cpp
+++ b/src/node/operators/operator_pages.cpp
@@ -1,4 +1,5 @@
 #include "node/operators/operator_pages.h"
+#include "net/boot_time.h"
 #include "node/node_context.h"
 #include "node/operators/state_dump.h"
 #include "node/requests/explain_page.h"
@@ -38,6 +39,9 @@
   Values.setObservationsLost(
       static_cast<double>(Context.Observations.droppedCount()));
   Values.setKeyCount(static_cast<double>(Context.Keys.stats().Entries));
+  const auto ViewAge = Context.ConfigView.get().age(bootNow());
+  Values.setConfigViewAge(
+      ViewAge ? std::chrono::duration<double>(*ViewAge).count() : -1);
   const auto Current = Context.Snapshots.get();
   Current->ServiceViews.forEach(
       [&](const ServiceName &Name, const auto &Service) {
--- a/src/node/operators/state_dump.cpp
+++ b/src/node/operators/state_dump.cpp
@@ -101,6 +101,34 @@
   return Dump;
 }
 
+Json::Value configViewDump(NodeContext &Context, const Snapshot &Current) {
+  const ConfirmedView View = Context.ConfigView.get();
+  const Instant Now = bootNow();
+  SharedConfirmedView::Counts &Counts = Context.ConfigView.counts();
+  const auto Number = [](std::uint64_t Value) {
+    return Json::Value(static_cast<Json::UInt64>(Value));
+  };
+  Json::Value Dump(Json::objectValue);
+  Dump["limits_revocation"] = Current.limitsRevocation();
+  Dump["limit_ms"] =
+      static_cast<Json::Int64>(Current.Fleet.RevocationLimit.count());
+  const auto Age = View.age(Now);
+  Dump["age_ms"] = Age ? Json::Value(static_cast<Json::Int64>(
+                             std::chrono::ceil<Millis>(*Age).count()))
+                       : Json::Value();
+  Dump["serves_keyed"] = !Current.limitsRevocation() ||
+                         View.mayServeKeyed(Now, Current.Fleet.RevocationLimit);
+  Dump["withdrawn"] = Context.ConfigView.withdrawn();
+  Dump["config_revision"] = Number(View.applied().Value);
+  Dump["store_revision"] = Number(View.storeRevision().Value);
+  Dump["awaits_record"] = View.awaitsRecord();
+  Dump["reads"] = Number(Counts.Reads);
+  Dump["old_reads"] = Number(Counts.OldReads);
+  Dump["polls"] = Number(Counts.Polls);
+  Dump["poll_responses"] = Number(Counts.PollResponses);
+  return Dump;
+}
+
 Json::Value membersDump(NodeContext &Context) {
   const auto View = Context.Members.load();
   Json::Value Dump(Json::arrayValue);
@@ -158,6 +186,7 @@
   Config["accounts"] =
       static_cast<Json::UInt64>(Current->AccountRecords.size());
   Config["snapshot"] = static_cast<Json::UInt64>(Current->Version);
+  Dump["config_view"] = configViewDump(Context, *Current);
   Dump["members"] = membersDump(Context);
   Dump["gossip"] = gossipDump(Context);
   Json::Value &Services = Dump["services"] = Json::Value(Json::arrayValue);
--- a/src/node/records/config_update.h
+++ b/src/node/records/config_update.h
@@ -31,6 +31,7 @@
 /// The live members, including this node.
 struct MemberBatch {
   std::vector<Member> Live;
+  bool SelfWithdrawn = false; ///< This node is live, but no entry.
 };
 
 /// A report about a target, received from another node.
--- a/src/node/snapshot.cpp
+++ b/src/node/snapshot.cpp
@@ -7,6 +7,11 @@
   return TargetSlots > 0 ? TargetSlots : Service.Record.SlotsPerTarget.Value;
 }
 
+bool Snapshot::limitsRevocation() const {
+  return this->Fleet.RevocationLimit > Millis::zero() &&
+         this->AccountRecords.size() > 0 && this->ConfigRevision.Value > 0;
+}
+
 std::shared_ptr<const ServiceView>
 Snapshot::service(const ServiceName &Name) const {
   const auto *Found = this->ServiceViews.find(Name);
--- a/src/node/snapshot.h
+++ b/src/node/snapshot.h
@@ -55,6 +55,8 @@
   std::uint64_t Version = 0; ///< Incremented with each snapshot.
   Revision HighestRevision;
   std::size_t RecordCount = 0;
+  /// Revision of Settings::RequiredRecord; zero if it is not applied.
+  Revision ConfigRevision;
   bool Configured = false; ///< A complete configuration is applied.
   /// Other nodes may compare their records with those of this node.
   bool HasPlatformRecords = false;
@@ -67,6 +69,10 @@
   std::vector<SteeringNode> LiveNodes;  ///< Including this node.
   std::vector<SteeringNode> EntryNodes; ///< Nodes that callers are steered to.
 
+  /// Whether requests with an API key run only while the configuration is
+  /// confirmed, see ConfirmedView: a limit is set, accounts are listed, and the
+  /// platform has one record whose reads confirm the configuration.
+  [[nodiscard]] bool limitsRevocation() const;
   /// The service, or null if it isn't configured.
   [[nodiscard]] std::shared_ptr<const ServiceView>
   service(const ServiceName &Name) const;
