Requests with an API key run only while the configuration is confirmed

Cause: a revoked key ran 8.1 s after its revocation (allowed: 5 s), and without end at a node that is cut off. Too old: 503, not run, Retry-After, and the connection is closed. A node without responses to its polls is no entry while it knows other nodes, also if they seem dead to it.

--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -292,7 +292,7 @@
             });
   this->NextSnapshot.LiveNodes = std::move(Live);
   std::vector<SteeringNode> Candidates = this->NextSnapshot.LiveNodes;
-  if (Batch.SelfWithdrawn)
+  if (Batch.SelfWithdrawn && Candidates.size() > 1)
     std::erase_if(Candidates, [this](const SteeringNode &Node) {
       return Node.Endpoint == this->Context.NodeSettings.FleetAddress;
     });
--- a/src/node/fleet/confirmation_exchange.cpp
+++ b/src/node/fleet/confirmation_exchange.cpp
@@ -4,6 +4,8 @@
 #include "node/node_context.h"
 #include "node/snapshot.h"
 
+#include <algorithm>
+
 namespace siskinstage {
 
 namespace {
@@ -107,13 +109,17 @@
 
 void ConfirmationExchange::updateWithdrawn(Instant Now, Duration Limit) {
   const ConfirmedView View = this->Context.ConfigView.get();
-  const bool OthersLive = this->Context.Members.load()->Live.size() > 1;
+  const auto Members = this->Context.Members.load();
+  // To a node that is cut off, the other nodes seem dead.
+  const bool OthersKnown = std::any_of(
+      Members->Others.begin(), Members->Others.end(),
+      [](const Member &Node) { return Node.State != MemberState::Left; });
   const Duration Silence = confirmationPeriod(config::NodePollPeriod, Limit) *
                            config::PollPeriodsToCutOff;
   // A response that brought no younger view shows that the other nodes' views
   // are as old; without one, they may be younger.
   const bool CutOff = Now - this->LastResponse > Silence;
-  this->setWithdrawn(OthersLive && !View.mayServeKeyed(Now, Limit) &&
+  this->setWithdrawn(OthersKnown && !View.mayServeKeyed(Now, Limit) &&
                      (CutOff || View.awaitsRecord()));
 }
 
--- a/src/node/requests/account_check.cpp
+++ b/src/node/requests/account_check.cpp
@@ -50,6 +50,7 @@
   if (Route == nullptr)
     return Client;
   Client.Priority = Route->Priority;
+  Client.PublicRoute = Route->Public;
   const auto Count = [&](const char *Result) {
     Context.NodeMetrics.countAccountCheck(Result, Client.Priority);
   };
--- a/src/node/requests/account_check.h
+++ b/src/node/requests/account_check.h
@@ -30,6 +30,7 @@
   /// The configuration lists accounts, so that the headers of the API key and
   /// the account's name are set by the node alone.
   bool KeysRequired = false;
+  bool PublicRoute = false; ///< The route needs no API key.
   /// Digest of the API key; none if no account has it.
   std::optional<KeyDigest> Digest;
 };
--- a/src/node/requests/dispatcher.cpp
+++ b/src/node/requests/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "net/boot_time.h"
 #include "node/header_names.h"
 #include "node/node_context.h"
+#include "node/requests/revocation_check.h"
 #include "node/targets/notice_log.h"
 #include "node/targets/service_gate.h"
 #include "node/targets/target_gauge.h"
@@ -418,6 +419,15 @@
                       Failed.Attempt.Reason);
 }
 
+DispatchResult Dispatcher::afterAttempts(Refusal Refused) {
+  if (this->FallbackResponse)
+    return std::move(*this->FallbackResponse);
+  if (this->MayHaveRun)
+    return this->refuse(502, Refused.Cause.FailedStep, Refused.Cause.Peer,
+                        Refused.Cause.Reason);
+  return Refused;
+}
+
 std::optional<DispatchResult> Dispatcher::checkBeforeDispatch() {
   if (this->Params.Caller != nullptr && this->Params.Caller->peerGone())
     return CallerGone{};
@@ -425,6 +435,10 @@
                                                     bootNow()))
     return this->refuse(503, Step::Limit, "quarantine",
                         "targets crashed at this request");
+  if (auto Refused = checkRevocation(this->Context, this->Params.Client))
+    return this->afterAttempts(std::move(*Refused));
+  setAccountHeaders(this->OutgoingHead, this->Params.Client,
+                    this->Context.NodeSettings.HeaderDialect);
   const std::string &Key = this->Params.OwnedKey;
   if (!Key.empty() && !this->Context.Keys.beginDispatch(Key))
     return this->refuse(503, Step::Key, Key, "the key is not free");
--- a/src/node/requests/dispatcher.h
+++ b/src/node/requests/dispatcher.h
@@ -121,6 +121,9 @@
   /// The result if the request must not be sent: its caller disconnected, it is
   /// quarantined, or its key is in use.
   std::optional<DispatchResult> checkBeforeDispatch();
+  /// The result if the request must not be sent for \p Refused; it may have
+  /// run in an earlier attempt.
+  DispatchResult afterAttempts(Refusal Refused);
   /// The result if the response is to be returned to the caller; else sets
   /// \p Failed.
   std::optional<DispatchResult>
--- a/src/node/requests/refusal.h
+++ b/src/node/requests/refusal.h
@@ -16,6 +16,8 @@
   Outcome RequestOutcome = Outcome::NotRun;
   Error Cause;
   std::optional<Duration> RetryAfter;
+  /// The caller is to use another node.
+  bool ClosesConnection = false;
 };
 
 /// Returns the status for \p RequestOutcome in a dialect where 503 promises
--- a/src/node/requests/request_flow.cpp
+++ b/src/node/requests/request_flow.cpp
@@ -7,6 +7,7 @@
 #include "node/header_names.h"
 #include "node/node_context.h"
 #include "node/requests/owner_forward.h"
+#include "node/requests/revocation_check.h"
 #include "node/targets/target_gauge.h"
 #include "siskinstage/config.h"
 
@@ -58,7 +59,7 @@
 }
 
 void RequestFlow::refuse(const Refusal &Refused) {
-  if (!this->Body.complete())
+  if (!this->Body.complete() || Refused.ClosesConnection)
     this->Writer.closeAfter();
   this->Context.NodeMetrics.countRefusal(Refused.Cause.FailedStep,
                                          Refused.RequestOutcome);
@@ -109,7 +110,14 @@
     return false;
   }
   this->Client = std::move(*Checked);
-  return true;
+  auto Refused = checkRevocation(this->Context, this->Client);
+  if (!Refused)
+    return true;
+  // The idempotency key may belong to an earlier request that ran.
+  if (this->Request.Key)
+    Refused->RequestOutcome = Outcome::Unknown;
+  this->refuse(*Refused);
+  return false;
 }
 
 bool RequestFlow::route() {
--- a/src/node/snapshot.cpp
+++ b/src/node/snapshot.cpp
@@ -9,7 +9,7 @@
 
 bool Snapshot::limitsRevocation() const {
   return this->Fleet.RevocationLimit > Millis::zero() &&
-         this->AccountRecords.size() > 0 && this->ConfigRevision.Value > 0;
+         this->AccountsByKey != nullptr && this->ConfigRevision.Value > 0;
 }
 
 std::shared_ptr<const ServiceView>
--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -200,6 +200,9 @@
             return exchange(connection, path, method, body, headers)
         return fetch(node or self.nodes[0], FRONT, path, method, body, headers)
 
+    def state(self, node):
+        return json.loads(fetch(node, OPERATOR, "/state")[2])
+
     def connection(self, node):
         """A connection that is kept for several requests."""
         return http.client.HTTPConnection(node, FRONT, timeout=8)
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -40,6 +40,7 @@
         self.compacted = 0  # revision up to which events are removed
         self.mode = "up"    # up, silent, refuse or drop
         self.rejected_addresses = set()  # nodes that get status 429
+        self.old_revision = None  # reads return this state, if it is set
         self.calls = 0
         store = self
 
@@ -107,15 +108,24 @@
         else:
             self.send(call, 404, {})
 
+    def visible_items(self):
+        """The newest items, or those of the old state."""
+        if self.old_revision is None:
+            return self.items
+        items = {event["key"]: event for event in self.events
+                 if event["revision"] <= self.old_revision}
+        return {key: item for key, item in items.items()
+                if not item.get("removed")}
+
     def range(self, query):
         with self.changed:
-            keys = sorted(key for key in self.items
+            items = self.visible_items()
+            keys = sorted(key for key in items
                           if key.startswith(query.get("prefix", ""))
                           and key > query.get("after", ""))
-            return {"items": [self.items[key]
-                              for key in keys[:self.PAGE_ITEMS]],
+            return {"items": [items[key] for key in keys[:self.PAGE_ITEMS]],
                     "has-more": len(keys) > self.PAGE_ITEMS,
-                    "at": self.revision}
+                    "at": self.old_revision or self.revision}
 
     def watch(self, call, query):
         after = int(query["after"])
@@ -125,10 +135,12 @@
                 if after < self.compacted:
                     body, status = {}, 410
                     break
-                events = [e for e in self.events if e["revision"] > after]
+                revision = self.old_revision or self.revision
+                events = [e for e in self.events
+                          if after < e["revision"] <= revision]
                 left = deadline - time.monotonic()
                 if events or left <= 0 or self.mode != "up":
-                    body = {"events": events, "at": self.revision}
+                    body = {"events": events, "at": revision}
                     status = 200
                     break
                 self.changed.wait(left)
