--- a/src/node/requests/account_check.cpp
+++ b/src/node/requests/account_check.cpp
@@ -92,6 +92,7 @@
   if (Route == nullptr)
     return Client;
   Client.Priority = Route->Priority;
+  Client.PublicRoute = Route->Public;
   if (!Client.KeysRequired)
     return Client;
   Client.Name = AccountName(AnonymousAccount);
