--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -88,6 +88,8 @@
 
 // Queue of a service whose slots are all in use.
 inline constexpr int MaxQueuePerService = 256;
+/// Bytes held by them: a seventh of the smallest machine's 112 MB.
+inline constexpr std::uint64_t MaxQueueBytesPerService = 16 * 1024 * 1024;
 inline constexpr std::chrono::milliseconds MaxQueueWait = 2s;
 inline constexpr std::chrono::milliseconds QueuePollPeriod = 20ms;
 
