--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -3,10 +3,12 @@
 
 #include "core/bounded_ring.h"
 #include "core/targets/observation.h"
+#include "net/timer_queue.h"
 #include "node/callers/connection_counts.h"
 #include "node/drain_state.h"
 #include "node/fleet/gossip_command.h"
 #include "node/fleet/membership_view.h"
+#include "node/fleet/shared_confirmed_view.h"
 #include "node/operators/metrics.h"
 #include "node/pipe_wakeup.h"
 #include "node/records/config_update.h"
@@ -21,6 +23,7 @@
 #include "node/wakeup.h"
 
 #include <atomic>
+#include <memory>
 
 namespace siskinstage {
 
@@ -49,11 +52,14 @@
   SharedRecords Records;
   std::atomic<std::shared_ptr<const MembershipView>> Members;
   GossipTraffic Traffic;
+  SharedConfirmedView ConfigView;
   std::atomic<std::uint64_t> GroupEjections{0};
   /// When the last valid gossip message of another node was received, in ticks
   /// of the boot clock.
   std::atomic<Duration::rep> LastGossip{0};
   StopFlag Stop;
+  /// Wakes requests that wait; run by the threads for callers.
+  std::unique_ptr<TimerQueue> Timers;
   DrainState Drain; ///< Active once SIGTERM was received.
   ConnectionCounts CallerConnections;
   ConnectionCounts ControlConnections;
@@ -62,6 +68,10 @@
 
   /// Whether callers' requests are accepted.
   [[nodiscard]] bool ready() const;
+  /// Whether this node names itself to callers that ask for entries.
+  [[nodiscard]] bool namesItself() const {
+    return !this->Drain.active() && !this->ConfigView.withdrawn();
+  }
   /// Creates an id that is unique in the fleet.
   RequestId newRequestId();
   /// Passes an observation to the decision thread; if the ring is full, it is
