--- a/src/core/fleet/steering.cpp
+++ b/src/core/fleet/steering.cpp
@@ -221,4 +221,12 @@
   return Entries;
 }
 
+bool sameNodes(const std::vector<SteeringNode> &Left,
+               const std::vector<SteeringNode> &Right) {
+  return std::equal(Left.begin(), Left.end(), Right.begin(), Right.end(),
+                    [](const SteeringNode &L, const SteeringNode &R) {
+                      return L.Endpoint == R.Endpoint;
+                    });
+}
+
 } // namespace siskinstage
--- a/src/core/fleet/steering.h
+++ b/src/core/fleet/steering.h
@@ -74,6 +74,10 @@
                                          const AccountName &Account,
                                          std::size_t Count);
 
+/// Whether both lists have the same nodes in the same order, by address.
+bool sameNodes(const std::vector<SteeringNode> &Left,
+               const std::vector<SteeringNode> &Right);
+
 } // namespace siskinstage
 
 #endif // SISKINSTAGE_CORE_FLEET_STEERING_H
