--- a/src/node/operators/state_dump.cpp
+++ b/src/node/operators/state_dump.cpp
@@ -1,4 +1,5 @@
 #include "node/operators/state_dump.h"
+#include "core/requests/account_directory.h"
 #include "net/boot_time.h"
 #include "node/node_context.h"
 #include "node/snapshot.h"
@@ -185,6 +186,8 @@
   Config["routes"] = static_cast<Json::UInt64>(Current->Routes.size());
   Config["accounts"] =
       static_cast<Json::UInt64>(Current->AccountRecords.size());
+  Config["accounts_with_keys"] = static_cast<Json::UInt64>(
+      Current->AccountsByKey ? Current->AccountsByKey->accounts().size() : 0);
   Config["snapshot"] = static_cast<Json::UInt64>(Current->Version);
   Dump["config_view"] = configViewDump(Context, *Current);
   Dump["members"] = membersDump(Context);
