While slots are short, each target has one node that fills it

Change: a node that has as many requests at a service as the targets assigned to it have slots uses other targets only where a slot is reported free, or one request where nothing recent is known. Assignment is that of trial requests (rendezvous hashing). Below that, nothing changes. Requests sent since the last report count as load.

--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -108,6 +108,12 @@
 /// to another domain costs a fifth of what the request is worth.
 inline constexpr double LargeBodyPenalty = 0.7;
 inline constexpr std::size_t LargeBodyBytes = 16 * 1024;
+/// Penalty of a target that another node fills: about one request at a target
+/// with three slots, so that a node first uses its own targets.
+inline constexpr double BorrowPenalty = 0.3;
+/// Added to BorrowPenalty while the load of the target is not known: about one
+/// request more, which the other node may have there.
+inline constexpr double UnknownLoadPenalty = 0.4;
 /// Age up to which the load that a target reported is used: the usual duration
 /// of a request, after which half of the reported requests have ended.
 inline constexpr std::chrono::milliseconds ReportedLoadMaxAge = 300ms;
--- a/src/core/targets/placement.cpp
+++ b/src/core/targets/placement.cpp
@@ -16,11 +16,28 @@
   return Request.FirstAttempt && Request.TimeLeft >= Usual.High;
 }
 
+/// Penalty of a target that another node fills.
+double borrowPenalty(const PlacementTarget &Target) {
+  if (Target.Assigned)
+    return 0;
+  return config::BorrowPenalty +
+         (Target.KnownLoad ? 0 : config::UnknownLoadPenalty);
+}
+
 } // namespace
 
 bool hasSlot(const PlacementTarget &Target) {
-  const double Usable = std::ceil(Target.Capacity * Target.Share);
-  return Target.InFlight < std::max(1.0, Usable);
+  const double Usable =
+      std::max(1.0, std::ceil(Target.Capacity * Target.Share));
+  if (Target.Assigned)
+    return Target.InFlight < Usable;
+  if (!Target.KnownLoad)
+    return Target.InFlight == 0;
+  return std::max(Target.InFlight, *Target.KnownLoad) < Usable;
+}
+
+bool exceedsOwnSlots(std::uint32_t InFlight, std::uint32_t AssignedSlots) {
+  return InFlight >= AssignedSlots;
 }
 
 std::optional<Candidate> candidateOf(const PlacementTarget &Target,
@@ -38,10 +55,12 @@
   if (!TrialDue && Target.Share < 1.0 && Rng.unit() > Target.Share)
     return std::nullopt;
   const double Penalty = grayPenalty(Gray, Target.InFlight, Request.Kind) +
-                         (LeavesDomain ? config::LargeBodyPenalty : 0);
-  return Candidate{Target.Index,    Target.InFlight,   Target.ReportedInFlight,
-                   Target.Capacity, Target.SameDomain, Penalty,
-                   TrialDue};
+                         (LeavesDomain ? config::LargeBodyPenalty : 0) +
+                         borrowPenalty(Target);
+  return Candidate{
+      Target.Index,    Target.InFlight,   Target.KnownLoad.value_or(0),
+      Target.Capacity, Target.SameDomain, Penalty,
+      TrialDue};
 }
 
 } // namespace siskinstage
--- a/src/core/targets/placement.h
+++ b/src/core/targets/placement.h
@@ -17,8 +17,9 @@
 struct PlacementTarget {
   std::uint32_t Index = 0;    ///< Index in the service's list of targets.
   std::uint32_t InFlight = 0; ///< Requests of this node at the target.
-  /// Requests in flight that the target last reported.
-  std::uint32_t ReportedInFlight = 0;
+  /// Requests of all nodes at the target: those that it last reported, and
+  /// those that this node has sent since. Nothing if the report is too old.
+  std::optional<std::uint32_t> KnownLoad;
   std::uint32_t Capacity = 1; ///< Slots: requests that it runs concurrently.
   double Share = 1.0;         ///< Fraction of its usual load that it may get.
   bool SameDomain = false;    ///< In the failure domain of this node.
@@ -29,6 +30,8 @@
   Duration Idle{};          ///< Time since this node's last request to it.
   /// What the target states allows a request of this node, see TargetNotices.
   bool MayReceive = true;
+  /// This node may use all slots of the target, see hasSlot().
+  bool Assigned = true;
 };
 
 /// Properties of a request that needs a target.
@@ -41,9 +44,20 @@
   Duration TimeLeft = config::DefaultDeadline;
 };
 
-/// Whether this node may send \p Target one more request.
+/// Whether this node may send \p Target one more request. Where it may not use
+/// all slots of the target, it uses those that the target has reported to be
+/// free, or one if the report is too old. The load for this: more requests
+/// arrive than a service can run. Several nodes that each fill every target up
+/// to its slots would fill the targets' queues, which know no priorities and
+/// reject what they can't hold. Each target is therefore assigned to one node;
+/// see exceedsOwnSlots().
 bool hasSlot(const PlacementTarget &Target);
 
+/// Whether a node with \p InFlight requests at a service has as many as the
+/// targets that are assigned to it have slots. If not, it may use all slots of
+/// every target: its share of the load is below its share of the slots.
+bool exceedsOwnSlots(std::uint32_t InFlight, std::uint32_t AssignedSlots);
+
 /// Evaluates one target for a request.
 /// \returns nothing if the request may not be sent there now: no slot is free,
 /// what the target states does not allow it, or the target has a reduced share
--- a/src/node/operators/state_dump.cpp
+++ b/src/node/operators/state_dump.cpp
@@ -29,7 +29,7 @@
       std::chrono::duration_cast<Millis>(Gate.idleTime(*Target.Gauge)).count());
   Dump["ejections"] = Target.Verdict.Ejections;
   Dump["in_flight"] = Target.Gauge->InFlight.load();
-  Dump["reported_in_flight"] = Target.Gauge->reportedLoad(bootNow());
+  Dump["reported_in_flight"] = Target.Gauge->knownLoad(bootNow()).value_or(0);
   const ServiceGate::NoticesView Known = Gate.notices(Service, Target);
   const auto InMillis = [](Duration Time) {
     return static_cast<Json::Int64>(
--- a/src/node/targets/service_gate.cpp
+++ b/src/node/targets/service_gate.cpp
@@ -53,6 +53,21 @@
   return !Params.OwnDomain.empty() && Target.Spec.Domain == Params.OwnDomain;
 }
 
+/// Whether this node has as many requests at the service as its share of the
+/// slots allows. Without other serving nodes, there is nothing to divide.
+bool usesOnlyOwnSlots(const ServiceView &View) {
+  if (!View.Group || View.Group->Nodes.size() <= 1)
+    return false;
+  std::uint32_t InFlight = 0;
+  std::uint32_t AssignedSlots = 0;
+  for (const TargetView &Target : View.Targets) {
+    InFlight += Target.Gauge->InFlight.load();
+    if (Target.SendsTrialRequests && Target.Verdict.Admitted)
+      AssignedSlots += slotsOf(View, Target);
+  }
+  return exceedsOwnSlots(InFlight, AssignedSlots);
+}
+
 } // namespace
 
 ServiceGate::ServiceGate(ServiceName Name, std::uint64_t Seed)
@@ -77,6 +92,7 @@
   TargetChoice Choice({Params.Kind, Params.LargeBody, Params.Tried.empty(),
                        Params.Deadline - Now},
                       {View.MedianLatency, View.HighLatency}, Now, this->Rng);
+  const bool Restricted = usesOnlyOwnSlots(View);
   for (std::uint32_t I = 0; I < View.Targets.size(); ++I) {
     const TargetView &Target = View.Targets[I];
     const bool Available =
@@ -85,15 +101,14 @@
       continue;
     updateNotices(View, Target, Now);
     const TargetGauge &Gauge = *Target.Gauge;
-    Choice.add({I, Gauge.InFlight.load(), Gauge.reportedLoad(Now),
-                slotsOf(View, Target),
-                std::min(Target.Verdict.Share,
-                         Gauge.Notices.rateLimit().loadShare(Now)),
-                isNear(Target, Params), Gauge.Gray.probability(Now),
-                &Gauge.Started, Target.SendsTrialRequests,
-                Now - Gauge.LastPlaced, Gauge.Notices.allows(Now)},
-               Params.Tried.count(Target.Spec.Id) > 0,
-               Gauge.Notices.restricts(Now));
+    Choice.add(
+        {I, Gauge.InFlight.load(), Gauge.knownLoad(Now), slotsOf(View, Target),
+         std::min(Target.Verdict.Share,
+                  Gauge.Notices.rateLimit().loadShare(Now)),
+         isNear(Target, Params), Gauge.Gray.probability(Now), &Gauge.Started,
+         Target.SendsTrialRequests, Now - Gauge.LastPlaced,
+         Gauge.Notices.allows(Now), !Restricted || Target.SendsTrialRequests},
+        Params.Tried.count(Target.Spec.Id) > 0, Gauge.Notices.restricts(Now));
   }
   return Choice;
 }
@@ -109,13 +124,19 @@
 std::vector<TargetRoom> ServiceGate::roomsOf(const ServiceView &View,
                                              Instant Now) {
   std::vector<TargetRoom> Rooms;
+  const bool Restricted = usesOnlyOwnSlots(View);
   for (const TargetView &Target : View.Targets) {
     if (!Target.Verdict.Admitted)
       continue;
     const TargetNotices &Notices = Target.Gauge->Notices;
-    Rooms.push_back({static_cast<double>(slotsOf(View, Target)),
-                     Target.Gauge->InFlight.load(), Notices.backOffLeft(Now),
-                     Notices.rateLimit().limited(),
+    const std::uint32_t Slots = slotsOf(View, Target);
+    // Other nodes use the rest of the slots that are not this node's own.
+    const std::uint32_t Usable =
+        Restricted && !Target.SendsTrialRequests
+            ? std::min(Slots, Target.Gauge->InFlight.load())
+            : Slots;
+    Rooms.push_back({static_cast<double>(Usable), Target.Gauge->InFlight.load(),
+                     Notices.backOffLeft(Now), Notices.rateLimit().limited(),
                      Notices.rateLimit().share().PerSecond,
                      Notices.allows(Now)});
   }
@@ -159,8 +180,7 @@
   }
   const TargetView &Target = View.Targets[*Chosen];
   TargetGauge &Gauge = *Target.Gauge;
-  Gauge.InFlight.fetch_add(1);
-  Gauge.Requests.fetch_add(1);
+  Gauge.addPlacement();
   Gauge.Started.push_back(Now);
   Gauge.Notices.take(Now);
   const Duration Idle = Now - std::exchange(Gauge.LastPlaced, Now);
--- a/src/node/targets/target_gauge.h
+++ b/src/node/targets/target_gauge.h
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace siskinstage {
@@ -36,17 +37,28 @@
   /// Stores the number of requests in flight that the target reported.
   void setReportedLoad(std::uint32_t Requests, Instant Now) {
     this->Reported.store(Requests);
+    this->PlacedSinceReport.store(0);
     this->ReportedAt.store(Now.time_since_epoch().count());
   }
-  /// The number of requests in flight that the target last reported; zero if
-  /// that is older than config::ReportedLoadMaxAge.
-  [[nodiscard]] std::uint32_t reportedLoad(Instant Now) const {
+  /// Counts a request that was placed here.
+  void addPlacement() {
+    this->InFlight.fetch_add(1);
+    this->Requests.fetch_add(1);
+    this->PlacedSinceReport.fetch_add(1);
+  }
+  /// The number of requests in flight that the target last reported, with those
+  /// placed since; nothing if the report is older than
+  /// config::ReportedLoadMaxAge.
+  [[nodiscard]] std::optional<std::uint32_t> knownLoad(Instant Now) const {
     const Instant At{Duration(this->ReportedAt.load())};
-    return Now - At < config::ReportedLoadMaxAge ? this->Reported.load() : 0;
+    if (Now - At >= config::ReportedLoadMaxAge)
+      return std::nullopt;
+    return this->Reported.load() + this->PlacedSinceReport.load();
   }
 
 private:
   std::atomic<std::uint32_t> Reported{0};
+  std::atomic<std::uint32_t> PlacedSinceReport{0};
   std::atomic<Duration::rep> ReportedAt{0};
 };
 
--- a/tests/unit/rate_limit_replay.h
+++ b/tests/unit/rate_limit_replay.h
@@ -213,7 +213,7 @@
       PlacementTarget Target;
       Target.Index = static_cast<std::uint32_t>(I);
       Target.InFlight = static_cast<std::uint32_t>(State.Started[I].size());
-      Target.ReportedInFlight = this->TotalInFlight[I];
+      Target.KnownLoad = this->TotalInFlight[I];
       Target.Capacity = this->Slots;
       Target.SameDomain = this->Specs[I].Domain == this->memberAt(Index).Domain;
       Target.Started = &State.Started[I];
