Add soft state that nodes share without a store

Quotas and entry nodes need figures of other nodes that change within seconds. SoftState is a table of entries that only their owners write; a copy of an ended or deleted entry does not bring it back while its marker is kept, which is as long as a datagram may be late.

--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -395,6 +395,17 @@
 /// fault.
 inline constexpr std::size_t MinUnreachableDomains = 2;
 
+// Soft state between nodes.
+inline constexpr std::size_t MaxSoftStateEntries = 20'000;
+inline constexpr std::size_t MaxSoftStateKeyBytes = 200;
+inline constexpr std::size_t MaxSoftStateValueBytes = 400;
+/// A few periods in which an owner writes an entry again.
+inline constexpr std::chrono::milliseconds MaxSoftStateLifetime = 60s;
+/// How long an ended entry is kept as a marker: a datagram that is older is
+/// rejected, so that no copy of the entry arrives later.
+inline constexpr std::chrono::milliseconds SoftStateRetention =
+    GossipClockTolerance;
+
 // Requests that crash targets.
 inline constexpr std::size_t CrashedTargetsToQuarantine = 2;
 inline constexpr std::size_t MaxSuspectRequests = 10'000;
