--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -143,6 +143,57 @@
 /// state leaves no room.
 inline constexpr std::chrono::milliseconds MaxNoticeRetryAfter = 5s;
 
+// Quotas of client accounts over all nodes.
+/// Defaults of the fleet record.
+inline constexpr std::chrono::milliseconds QuotaWindow = 5s;
+inline constexpr double QuotaOverage = 0.25;
+inline constexpr double QuotaSlack = 20;
+/// Parts of the overage and of the slack that the shares use, as burst. The
+/// rest of the overage is for requests that wait for a slot and then run closer
+/// together than they were admitted, and for entry nodes that change.
+inline constexpr double QuotaOverageUse = 0.6;
+inline constexpr double QuotaSlackUse = 0.9;
+/// Shortest life of a loan: a renewal can be tried four times in its second
+/// half.
+inline constexpr std::chrono::milliseconds QuotaLoanTime = 4s;
+/// Part of its life after which a loan is renewed.
+inline constexpr double QuotaRenewFraction = 0.5;
+/// Period in which a claimant asks each other one whether it is in contact. It
+/// grows with the number of claimants, which keeps the traffic of a node the
+/// same.
+inline constexpr std::chrono::milliseconds QuotaContactPeriod = 4s;
+inline constexpr std::chrono::milliseconds QuotaContactPeriodPerNode = 500ms;
+/// A claim ends this many contact periods after the contact with half of the
+/// claimants, and a silent claimant is forgotten after QuotaForgetPeriods: the
+/// claim has then ended, and all loans from it.
+inline constexpr int QuotaContactPeriods = 2;
+inline constexpr int QuotaForgetPeriods = 4;
+/// A node that is no entry any more keeps its claim for as long as callers use
+/// a response of the directory, 6 s, and a second.
+inline constexpr std::chrono::milliseconds QuotaDemotionTime = 7s;
+/// Time after the start in which a node learns who the others are.
+inline constexpr std::chrono::milliseconds QuotaStartTime = 700ms;
+/// Longer than a round trip between regions, 140 ms, and two gossip ticks.
+inline constexpr std::chrono::milliseconds QuotaResponseTimeout = 400ms;
+/// A bucket whose claim was not confirmed for this long by the gossip thread is
+/// empty: the process may have been frozen.
+inline constexpr std::chrono::milliseconds QuotaTickTimeout = 2s;
+/// Part of its own claim that a node keeps for new demand.
+inline constexpr double QuotaKeepFraction = 0.15;
+/// Requests for loans and contacts that a node sends per second on average.
+inline constexpr double QuotaRequestsPerSecond = 4;
+inline constexpr double QuotaRequestBurst = 60;
+/// First and last interval at which other nodes are asked for more.
+inline constexpr std::chrono::milliseconds QuotaRetryMin = 250ms;
+inline constexpr std::chrono::milliseconds QuotaRetryMax = 4s;
+/// Accounts in one message, which then fits into a datagram.
+inline constexpr std::size_t QuotaItemsPerMessage = 14;
+/// State of an account that was not used for this long is dropped.
+inline constexpr std::chrono::milliseconds QuotaIdleTime = 60s;
+inline constexpr std::size_t MaxQuotaAccounts = 300'000;
+/// Longest Retry-After of a request over its quota.
+inline constexpr std::chrono::milliseconds MaxQuotaRetryAfter = 5s;
+
 // Idempotency keys.
 inline constexpr std::chrono::seconds KeyEpochLength = 300s;
 /// Number of epochs after its own in which a key remains valid.
