Hold accounts to quotas over all nodes

The gate gave each node a static part of an account's rate, so that an account whose callers were at few nodes got a fraction of it, and each restarted node a full bucket. Claims on a quota now follow the demand: an entry node has an equal part of all quotas, and nodes lend each other what they do not need (docs/design/quotas.md). Accounts of a bundle use it; account records keep their static shares.

--- a/include/siskinstage/fleet_record.h
+++ b/include/siskinstage/fleet_record.h
@@ -16,6 +16,11 @@
   /// Retries of one service beyond that ratio that all nodes together may make
   /// in a burst; zero gives each node its own config::RetryBudgetBurst.
   double RetryBurst = 0;
+  /// Bounds on the requests of an account with a quota: in each window at most
+  /// (rate x window + burst) x (1 + overage) + slack run.
+  std::chrono::milliseconds QuotaWindow = config::QuotaWindow;
+  double QuotaOverage = config::QuotaOverage;
+  double QuotaSlack = config::QuotaSlack;
   /// Entry nodes that the callers of one account are steered to.
   std::size_t EntriesPerAccount = config::EntriesPerAccount;
 };
--- a/include/siskinstage/record_limits.h
+++ b/include/siskinstage/record_limits.h
@@ -19,6 +19,8 @@
 inline constexpr double MaxRate = 1e9;
 inline constexpr double MaxRetryBudget = 1;
 inline constexpr double MaxRetryBurst = 1e6;
+inline constexpr double MaxQuotaOverage = 10;
+inline constexpr double MaxQuotaSlack = 1e6;
 inline constexpr std::size_t MaxNameBytes = 200;
 /// Of timeouts, objectives and warm-ups: no request lasts longer.
 inline constexpr std::uint64_t MaxDurationMs =
--- a/src/core/fleet/gossip_codec.cpp
+++ b/src/core/fleet/gossip_codec.cpp
@@ -1,5 +1,6 @@
 #include "core/fleet/gossip_codec.h"
 #include "core/address.h"
+#include "core/fleet/quota_codec.h"
 #include "core/records/record_parser.h"
 #include "siskinstage/config.h"
 
@@ -77,6 +78,12 @@
     this->Output["n"] = toJson(Body.State.Version);
     this->Output["l"] = Body.State.PerSecond;
   }
+  void operator()(const QuotaRequest &Body) const {
+    writeQuota(Body, this->Output);
+  }
+  void operator()(const QuotaResponse &Body) const {
+    writeQuota(Body, this->Output);
+  }
   void operator()(const CrashReport &Body) const {
     this->Output["k"] = "crash";
     this->Output["s"] = toJson(Body.Fingerprint.Value);
@@ -162,6 +169,10 @@
     return readGrayEstimateUpdate(Value);
   if (Kind == "limit")
     return readRateLimitUpdate(Value);
+  if (Kind == QuotaRequestKind)
+    return readQuotaRequest(Value);
+  if (Kind == QuotaResponseKind)
+    return readQuotaResponse(Value);
   if (!Value["s"].isUInt64())
     return malformed("s");
   const std::uint64_t Sequence = Value["s"].asUInt64();
--- a/src/core/fleet/gossip_message.h
+++ b/src/core/fleet/gossip_message.h
@@ -3,6 +3,7 @@
 
 #include "core/fleet/member.h"
 #include "core/requests/quarantine.h"
+#include "core/requests/quota_message.h"
 #include "core/targets/rate_limit.h"
 #include "core/targets/report_kind.h"
 #include "siskinstage/record.h"
@@ -69,9 +70,9 @@
   TargetId Target;
 };
 
-using GossipBody =
-    std::variant<Ping, PingRequest, Ack, RecordUpdate, TargetReport,
-                 GrayEstimateUpdate, CrashReport, RateLimitUpdate>;
+using GossipBody = std::variant<Ping, PingRequest, Ack, RecordUpdate,
+                                TargetReport, GrayEstimateUpdate, CrashReport,
+                                RateLimitUpdate, QuotaRequest, QuotaResponse>;
 
 /// Digest that a node sends while it lacks the records of the platform.
 inline constexpr std::uint64_t NoRecordsDigest = 0;
--- a/src/core/records/record_parser.cpp
+++ b/src/core/records/record_parser.cpp
@@ -210,6 +210,14 @@
   Fleet.RetryBudget = Fields.real("retry_budget", config::RetryBudgetFraction,
                                   0, MaxRetryBudget);
   Fleet.RetryBurst = Fields.real("retry_burst", 0, 0, MaxRetryBurst);
+  Fleet.QuotaWindow = Millis(
+      Fields.number("quota_window_ms",
+                    static_cast<std::uint64_t>(config::QuotaWindow.count()), 1,
+                    MaxDurationMs));
+  Fleet.QuotaOverage =
+      Fields.real("quota_overage", config::QuotaOverage, 0, MaxQuotaOverage);
+  Fleet.QuotaSlack =
+      Fields.real("quota_slack", config::QuotaSlack, 0, MaxQuotaSlack);
   Fleet.EntriesPerAccount =
       Fields.number("entries_per_account", config::EntriesPerAccount, 1, 64);
   return Fleet;
--- a/src/core/requests/account_quota.cpp
+++ b/src/core/requests/account_quota.cpp
@@ -19,7 +19,7 @@
 constexpr double ManyRequests = 8;
 /// Part of the demand of a longer time that is expected to go on when the
 /// latest slots have less.
-constexpr double MinRemaining = 0.4;
+constexpr double MinRemaining = 0.25;
 /// A bucket must hold a whole token to admit anything.
 constexpr double MinTokens = 1.3;
 
--- a/src/core/requests/fleet_quota.cpp
+++ b/src/core/requests/fleet_quota.cpp
@@ -13,6 +13,10 @@
 }
 
 constexpr double MilliPerToken = 1000;
+/// Part of its own claim that a node keeps for new demand. With 0.15, callers
+/// that had moved were refused twice as often; with 0.4, an account at one node
+/// alone was refused within its quota.
+constexpr double KeepFraction = 0.3;
 
 /// The parts that make up a fraction, rounded up.
 QuotaParts partsOf(double Fraction) {
@@ -34,8 +38,8 @@
 
 QuotaParts FleetQuota::spareOf(const Account &Known, Instant Now) const {
   const QuotaParts Own = this->Shares.claim();
-  QuotaParts Kept = static_cast<QuotaParts>(static_cast<double>(Own) *
-                                            config::QuotaKeepFraction);
+  QuotaParts Kept =
+      static_cast<QuotaParts>(static_cast<double>(Own) * KeepFraction);
   Kept = std::max(Kept, this->needOf(Known, Now));
   if (Known.Bucket && Known.Bucket->lastDemand() != Instant())
     Kept = std::max(Kept, partsOf(Known.Bucket->leastClaim()));
--- a/src/core/requests/quota_loans.cpp
+++ b/src/core/requests/quota_loans.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+/// First and last interval at which other nodes are asked for more: the first
+/// is that of a response from another failure domain.
+constexpr Millis RetryMin{120};
+constexpr Millis RetryMax{4000};
 /// Changes below this are not worth a message.
 constexpr QuotaParts MinChange = WholeQuota / 500;
 /// Part of its claim that a lender is expected to have to spare: a fifth, since
@@ -108,9 +112,8 @@
   // Lenders that had nothing are asked less and less often.
   this->RoundInterval =
       Have > this->RoundHad + MinChange
-          ? config::QuotaRetryMin
-          : std::clamp<Duration>(this->RoundInterval * 2, config::QuotaRetryMin,
-                                 config::QuotaRetryMax);
+          ? RetryMin
+          : std::clamp<Duration>(this->RoundInterval * 2, RetryMin, RetryMax);
   this->RoundHad = Have;
   this->NextRound = Now + this->RoundInterval;
   const auto Count = std::min<std::size_t>(
@@ -145,7 +148,7 @@
     if (Excess && Usable > 0) {
       Debt.Amount = Debt.Wanted = Usable * Total / Have;
       Debt.Stated = false;
-      Debt.NextAsk = std::min(Debt.NextAsk, Now + config::QuotaRetryMin);
+      Debt.NextAsk = std::min(Debt.NextAsk, Now + RetryMin);
     }
   }
 }
@@ -201,7 +204,7 @@
   Debt.Stated = Debt.Amount >= std::max(Amount, Usable);
   Debt.NextAsk = Debt.Amount < Usable ? Now
                  : Debt.Stated        ? *SentAt + Renewal
-                                      : Now + config::QuotaRetryMin;
+                                      : Now + RetryMin;
   if (Debt.Amount == 0)
     Debt.Wanted = 0; // Asked again in a later round.
   return true;
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -1,4 +1,5 @@
 #include "node/decision_loop.h"
+#include "core/requests/account_directory.h"
 #include "net/boot_time.h"
 #include "node/node_context.h"
 #include "node/targets/service_gate.h"
@@ -166,6 +167,7 @@
     this->StaleServices.insert(Target->Service);
   } else if (const auto *Bundle = std::get_if<BundleRecord>(&Old.Body)) {
     this->NextSnapshot.AccountsByKey.reset();
+    this->configureQuotas();
     for (const RouteRecord &Route : Bundle->Routes)
       this->NextSnapshot.Routes.remove(Route);
   }
@@ -206,6 +208,7 @@
 
 void DecisionLoop::applyBundle(const BundleRecord &New) {
   this->NextSnapshot.AccountsByKey = New.Accounts;
+  this->configureQuotas();
   for (const RouteRecord &Route : New.Routes)
     this->NextSnapshot.Routes.add(Route);
   std::set<ServiceName> InBundle;
@@ -267,6 +270,10 @@
     Seeds.Seeds.push_back(Listed.Endpoint);
     this->ListedNodeDomains.insert(Listed.Domain);
   }
+  this->Context.Quotas.setListed(
+      std::set<Address>(Seeds.Seeds.begin(), Seeds.Seeds.end()));
+  this->ListedNodes = Seeds.Seeds.size();
+  this->configureQuotas();
   const std::vector<Address> &ConfiguredSeeds =
       this->Context.NodeSettings.Seeds;
   Seeds.Seeds.insert(Seeds.Seeds.end(), ConfiguredSeeds.begin(),
@@ -304,6 +311,7 @@
       this->rebuildServiceView(Name, Service);
   }
   this->configureGates();
+  this->configureQuotas();
   this->SnapshotChanged = true;
 }
 
@@ -361,6 +369,24 @@
     Service.Gate->configure(Service.Record.Policy, this->nodeRetryShare());
 }
 
+void DecisionLoop::configureQuotas() {
+  const auto &Directory = this->NextSnapshot.AccountsByKey;
+  std::vector<Address> Sharing;
+  const bool Limited =
+      Directory &&
+      std::any_of(Directory->accounts().begin(), Directory->accounts().end(),
+                  [](const AccountRecord &Account) {
+                    return Account.RatePerSecond > 0;
+                  });
+  const bool HasEntries = this->Context.NodeSettings.EntriesPerDomain > 0;
+  if (Limited)
+    for (const SteeringNode &Node : HasEntries ? this->NextSnapshot.EntryNodes
+                                               : this->NextSnapshot.LiveNodes)
+      Sharing.push_back(Node.Endpoint);
+  const std::size_t Live = this->NextSnapshot.LiveNodes.size();
+  this->Context.Quotas.setEntries(Sharing, Live * 2 > this->ListedNodes);
+}
+
 std::vector<SteeringNode>
 DecisionLoop::servingNodes(const ServiceName &Name) const {
   const ServiceRecord *Record = this->findServiceRecord(Name);
--- a/src/node/decision_loop.h
+++ b/src/node/decision_loop.h
@@ -65,6 +65,7 @@
   /// this node.
   std::set<FailureDomain> ComparedDomains;
   bool InstanceListRead = false;
+  std::size_t ListedNodes = 0; ///< Other nodes that it has as live.
   bool PlatformRead = false;
   /// A complete read of the platform was known not to be stale.
   bool PlatformCurrent = false;
@@ -105,6 +106,8 @@
   /// This node's share of the fleet's retry budget.
   [[nodiscard]] RetryShare nodeRetryShare() const;
   void configureGates();
+  /// Tells the quotas which nodes share them.
+  void configureQuotas();
   [[nodiscard]] std::vector<SteeringNode>
   servingNodes(const ServiceName &Name) const;
   void setServingNodes(ServiceState &Service,
--- a/src/node/fleet/gossip_loop.cpp
+++ b/src/node/fleet/gossip_loop.cpp
@@ -81,6 +81,7 @@
     this->executeCommands();
     const Instant Now = bootNow();
     this->send(this->Members.tick(Now));
+    this->send(this->Context.Quotas.tick());
     if (this->Context.Drain.active() && !this->LeaveSent) {
       this->LeaveSent = true;
       this->send(this->Members.leave(Now));
@@ -142,6 +143,12 @@
     this->handleRateLimit(*Limit, Message.From);
   else if (const auto *Crash = std::get_if<CrashReport>(&Message.Body))
     this->handleCrash(*Crash);
+  else if (const auto *Request = std::get_if<QuotaRequest>(&Message.Body))
+    this->send(this->Context.Quotas.receive(Message.From.Endpoint,
+                                            Message.From.Process, *Request));
+  else if (const auto *Loan = std::get_if<QuotaResponse>(&Message.Body))
+    this->send(this->Context.Quotas.receive(Message.From.Endpoint,
+                                            Message.From.Process, *Loan));
   else
     this->compareDigests(Message);
 }
@@ -275,6 +282,15 @@
     this->send(Item.To, Item.Message);
 }
 
+void GossipLoop::send(std::vector<OutgoingQuota> Out) {
+  for (OutgoingQuota &Item : Out)
+    std::visit(
+        [&](auto &Body) {
+          this->send(Item.To, this->Members.compose(std::move(Body)));
+        },
+        Item.Message);
+}
+
 void GossipLoop::send(const Address &To, GossipMessage Message) {
   // Without the records of the platform there is nothing to compare with.
   Message.RecordsDigest = this->Context.Snapshots.get()->HasPlatformRecords
--- a/src/node/fleet/gossip_loop.h
+++ b/src/node/fleet/gossip_loop.h
@@ -3,6 +3,7 @@
 
 #include "core/fleet/gossip_seal.h"
 #include "core/fleet/membership.h"
+#include "core/requests/fleet_quota.h"
 #include "node/fleet/gossip_command.h"
 #include "siskinstage/config.h"
 #include "siskinstage/error.h"
@@ -55,6 +56,7 @@
   void handleCrash(const CrashReport &Report);
   void handleGrayEstimate(const GrayEstimateUpdate &Estimate);
   void handleRateLimit(const RateLimitUpdate &Update, const Member &From);
+  void send(std::vector<OutgoingQuota> Out);
   void compareDigests(const GossipMessage &Message);
   void executeCommands();
   void execute(const BroadcastRecord &Command);
--- a/src/node/node_context.cpp
+++ b/src/node/node_context.cpp
@@ -12,6 +12,7 @@
                          Incarnation Process,
                          std::shared_ptr<const Snapshot> First)
     : NodeSettings(Values), Snapshots(std::move(First)), Keys(Own, Process),
+      Quotas(Values.FleetAddress, Process),
       Observations(config::ObservationRingSize),
       Updates(config::UpdateRingSize), GossipCommands(config::UpdateRingSize),
       SyncTasks(config::UpdateRingSize),
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -15,6 +15,7 @@
 #include "node/requests/account_gate.h"
 #include "node/requests/key_owner.h"
 #include "node/requests/quarantine_gate.h"
+#include "node/requests/quota_gate.h"
 #include "node/settings.h"
 #include "node/snapshot_holder.h"
 #include "node/stop_flag.h"
@@ -34,6 +35,7 @@
   SnapshotHolder Snapshots;
   KeyOwner Keys;
   AccountGate AccountLimits;
+  QuotaGate Quotas;
   QuarantineGate RequestQuarantine;
   /// From handlers and the probe thread to the decision thread.
   BoundedRing<Observation> Observations;
--- a/src/node/operators/metrics.cpp
+++ b/src/node/operators/metrics.cpp
@@ -37,6 +37,17 @@
       AttemptFailures(counters(*this->Registry,
                                "siskinstage_attempt_failures_total",
                                "Tries at targets that failed, by kind.")),
+      QuotaRequests(counters(
+          *this->Registry, "siskinstage_quota_requests_total",
+          "Requests of accounts with a quota, by result and priority.")),
+      QuotaClaim(gauge(*this->Registry, "siskinstage_quota_claim",
+                       "Fraction of all quotas that the node has, not lent.")),
+      QuotaClaimants(gauge(*this->Registry, "siskinstage_quota_claimants",
+                           "Nodes that share the quotas.")),
+      QuotaAccounts(gauge(*this->Registry, "siskinstage_quota_accounts",
+                          "Accounts whose quota is in use at the node.")),
+      QuotaTableFull(gauge(*this->Registry, "siskinstage_quota_table_full",
+                           "Requests refused since the table was full.")),
       Retries(counters(*this->Registry, "siskinstage_retries_total",
                        "Second and further tries.")
                   .Add({})),
@@ -98,6 +109,20 @@
       .Increment();
 }
 
+void Metrics::countQuota(const char *Result, std::uint32_t Priority) {
+  this->QuotaRequests
+      .Add({{"result", Result}, {"priority", std::to_string(Priority)}})
+      .Increment();
+}
+
+void Metrics::setQuotas(double Claim, double Claimants, double Accounts,
+                        double Full) {
+  this->QuotaClaim.Set(Claim);
+  this->QuotaClaimants.Set(Claimants);
+  this->QuotaAccounts.Set(Accounts);
+  this->QuotaTableFull.Set(Full);
+}
+
 void Metrics::countAttemptFailure(AttemptFailure::Kind Kind) {
   this->AttemptFailures.Add({{"kind", attemptFailureName(Kind)}}).Increment();
 }
--- a/src/node/operators/metrics.h
+++ b/src/node/operators/metrics.h
@@ -25,6 +25,10 @@
   void countRefusal(Step FailedStep, Outcome Result);
   /// \param Result why a request is or is not admitted by its API key.
   void countAccountCheck(const char *Result, std::uint32_t Priority);
+  /// \param Result what the quota of an account decided on a request.
+  void countQuota(const char *Result, std::uint32_t Priority);
+  /// \param Claim fraction of all quotas that this node has, without loans.
+  void setQuotas(double Claim, double Claimants, double Accounts, double Full);
   void countAttemptFailure(AttemptFailure::Kind Kind);
   void countRetry();
   void countForward(const char *Result);
@@ -61,6 +65,11 @@
   prometheus::Family<prometheus::Counter> &Refusals;
   prometheus::Family<prometheus::Counter> &AccountChecks;
   prometheus::Family<prometheus::Counter> &AttemptFailures;
+  prometheus::Family<prometheus::Counter> &QuotaRequests;
+  prometheus::Gauge &QuotaClaim;
+  prometheus::Gauge &QuotaClaimants;
+  prometheus::Gauge &QuotaAccounts;
+  prometheus::Gauge &QuotaTableFull;
   prometheus::Counter &Retries;
   prometheus::Family<prometheus::Counter> &Forwards;
   prometheus::Family<prometheus::Counter> &Resends;
--- a/src/node/operators/operator_pages.cpp
+++ b/src/node/operators/operator_pages.cpp
@@ -38,6 +38,10 @@
   Values.setObservationsLost(
       static_cast<double>(Context.Observations.droppedCount()));
   Values.setKeyCount(static_cast<double>(Context.Keys.stats().Entries));
+  const FleetQuota::Stats Quotas = Context.Quotas.stats();
+  Values.setQuotas(static_cast<double>(Quotas.Claim) / WholeQuota,
+                   Quotas.Claimants, static_cast<double>(Quotas.Accounts),
+                   static_cast<double>(Quotas.Full));
   const auto Current = Context.Snapshots.get();
   Current->ServiceViews.forEach(
       [&](const ServiceName &Name, const auto &Service) {
--- a/src/node/operators/state_dump.cpp
+++ b/src/node/operators/state_dump.cpp
@@ -1,4 +1,5 @@
 #include "node/operators/state_dump.h"
+#include "core/requests/account_directory.h"
 #include "net/boot_time.h"
 #include "node/node_context.h"
 #include "node/snapshot.h"
@@ -142,6 +143,40 @@
   return Dump;
 }
 
+/// Accounts of which the page shows the quota.
+constexpr std::size_t MaxQuotasShown = 500;
+
+/// The quotas of accounts at this node. Claims are fractions of the quota.
+Json::Value quotasDump(NodeContext &Context, const Snapshot &Current) {
+  const auto Fraction = [](QuotaParts Parts) {
+    return static_cast<double>(Parts) / static_cast<double>(WholeQuota);
+  };
+  const FleetQuota::Stats Stats = Context.Quotas.stats();
+  Json::Value Dump(Json::objectValue);
+  Dump["claim"] = Fraction(Stats.Claim);
+  Dump["claimants"] = Stats.Claimants;
+  Dump["accounts_in_use"] = static_cast<Json::UInt64>(Stats.Accounts);
+  Json::Value &Shown = Dump["accounts"] = Json::Value(Json::objectValue);
+  if (!Current.AccountsByKey)
+    return Dump;
+  for (const AccountRecord &Account : Current.AccountsByKey->accounts()) {
+    if (Account.RatePerSecond <= 0)
+      continue;
+    if (Shown.size() >= MaxQuotasShown)
+      break;
+    const FleetQuota::AccountView View = Context.Quotas.view(Account.Name);
+    Json::Value &Entry = Shown[Account.Name.str()];
+    Entry["rate_per_s"] = Account.RatePerSecond;
+    Entry["burst"] = Account.Burst;
+    Entry["own"] = Fraction(View.Own);
+    Entry["borrowed"] = Fraction(View.Borrowed);
+    Entry["lent"] = Fraction(View.Lent);
+    Entry["needed"] = View.Need;
+    Entry["tokens"] = View.Tokens;
+  }
+  return Dump;
+}
+
 } // namespace
 
 Json::Value stateDump(NodeContext &Context) {
@@ -158,6 +193,7 @@
   Config["accounts"] =
       static_cast<Json::UInt64>(Current->AccountRecords.size());
   Config["snapshot"] = static_cast<Json::UInt64>(Current->Version);
+  Dump["quotas"] = quotasDump(Context, *Current);
   Dump["members"] = membersDump(Context);
   Dump["gossip"] = gossipDump(Context);
   Json::Value &Services = Dump["services"] = Json::Value(Json::arrayValue);
--- a/src/node/requests/account_check.cpp
+++ b/src/node/requests/account_check.cpp
@@ -101,6 +101,8 @@
     if (Accepted->Account != nullptr) {
       Client.Name = Accepted->Account->Name;
       Client.Known = true;
+      Client.Quota = {Accepted->Account->RatePerSecond,
+                      Accepted->Account->Burst};
       Client.Priority = effectivePriority(Accepted->Account, *Route);
     }
   const bool Repeated = headerValues(Request.Head, Header).size() > 1;
--- a/src/node/requests/account_check.h
+++ b/src/node/requests/account_check.h
@@ -1,6 +1,7 @@
 #ifndef SISKINSTAGE_NODE_REQUESTS_ACCOUNT_CHECK_H
 #define SISKINSTAGE_NODE_REQUESTS_ACCOUNT_CHECK_H
 
+#include "core/requests/account_quota.h"
 #include "node/requests/refusal.h"
 #include "siskinstage/key_digest.h"
 #include "siskinstage/strong_id.h"
@@ -30,6 +31,8 @@
   /// The configuration lists accounts, so that the headers of the API key and
   /// the account's name are set by the node alone.
   bool KeysRequired = false;
+  /// Limits over all nodes; a rate of 0 for none.
+  QuotaLimits Quota;
   bool Known = false; ///< An account has the key; targets get its name.
   /// Digest of the API key, also of an unknown one; none if the request has no
   /// key, or not a usable one.
--- a/src/node/requests/request_flow.cpp
+++ b/src/node/requests/request_flow.cpp
@@ -370,6 +370,8 @@
 }
 
 DispatchResult RequestFlow::dispatchWithinLimits(const std::string &OwnedKey) {
+  if (this->Client.Quota.PerSecond > 0)
+    return this->dispatchWithinQuota(OwnedKey);
   const AccountRecord *Limited =
       this->Current->AccountRecords.find(this->Client.Name);
   if (Limited == nullptr)
@@ -395,6 +397,27 @@
   return Result;
 }
 
+DispatchResult RequestFlow::dispatchWithinQuota(const std::string &OwnedKey) {
+  const std::uint32_t Priority = this->Client.Priority;
+  const auto Decision = this->Context.Quotas.admit(
+      this->Client.Name, this->Client.Quota, this->Current->Fleet);
+  this->Context.NodeMetrics.countQuota(
+      Decision.Admitted ? "admitted" : "refused", Priority);
+  if (!Decision.Admitted)
+    return Refusal{
+        429,
+        Outcome::NotRun,
+        {Step::Limit, this->Client.Name.str(), "the account is over its quota"},
+        std::max<Duration>(Decision.RetryAfter, Millis(1))};
+  DispatchResult Result = this->dispatch(OwnedKey);
+  const auto *Refused = std::get_if<Refusal>(&Result);
+  if (Refused != nullptr && Refused->RequestOutcome == Outcome::NotRun) {
+    this->Context.Quotas.giveBack(this->Client.Name);
+    this->Context.NodeMetrics.countQuota("returned", Priority);
+  }
+  return Result;
+}
+
 DispatchResult RequestFlow::dispatch(const std::string &OwnedKey) {
   DispatchParams Params;
   Params.Limits = this->Limits;
--- a/src/node/requests/request_flow.h
+++ b/src/node/requests/request_flow.h
@@ -67,6 +67,8 @@
   DispatchResult dispatch(const std::string &OwnedKey);
   /// Dispatches the request if the limits of its client account admit it.
   DispatchResult dispatchWithinLimits(const std::string &OwnedKey);
+  /// Dispatches the request if the quota of its account admits it.
+  DispatchResult dispatchWithinQuota(const std::string &OwnedKey);
   void sendResult(DispatchResult &Result);
   void sendResponse(DispatchedResponse &Response);
   void logResponse(DispatchedResponse &Response) const;
--- a/tests/unit/gossip_test.cpp
+++ b/tests/unit/gossip_test.cpp
@@ -31,7 +31,9 @@
       TargetReport{ServiceName("s"), TargetId("t"), ReportKind::Failing, 2},
       GrayEstimateUpdate{ServiceName("s"), TargetId("t"), 93},
       CrashReport{{9}, TargetId("t")},
-      RateLimitUpdate{ServiceName("s"), TargetId("t"), {8}, {3, 0.25}}};
+      RateLimitUpdate{ServiceName("s"), TargetId("t"), {8}, {3, 0.25}},
+      QuotaRequest{7, true, 900, {{~0ULL, 400'000, 10, 2.5, 30}}},
+      QuotaResponse{7, 6, true, 4000, {{~0ULL, 390'000, 1500}}}};
   for (const GossipBody &Body : Bodies) {
     const GossipMessage Sent = sample(Body);
     const std::string Text = gossipNotification(encodeGossip(Sent));
@@ -47,6 +49,22 @@
   }
 }
 
+/// Fails if a claim beyond the whole, or a loan without end, is taken in.
+TEST(GossipCodec, RefusesQuotasOutOfBounds) {
+  const Json::Value Valid =
+      encodeGossip(sample(QuotaResponse{7, 6, true, 4000, {{1, 2, 3}}}));
+  ASSERT_TRUE(decodeGossip(Valid));
+  Json::Value Whole = Valid;
+  Whole["q"][0][1] = static_cast<Json::Int64>(WholeQuota + 1);
+  EXPECT_FALSE(decodeGossip(Whole));
+  Json::Value Negative = Valid;
+  Negative["q"][0][2] = -1;
+  EXPECT_FALSE(decodeGossip(Negative));
+  Json::Value Endless = Valid;
+  Endless["l"] = 1e12;
+  EXPECT_FALSE(decodeGossip(Endless));
+}
+
 TEST(GossipCodec, RefusesEachFieldOfTheWrongShape) {
   const Json::Value Valid = encodeGossip(sample(Ping{1}));
   for (const std::string &Field : Valid.getMemberNames()) {
--- a/tests/unit/platform_translation_test.cpp
+++ b/tests/unit/platform_translation_test.cpp
@@ -216,6 +216,23 @@
   }
 }
 
+/// Fails if the quotas apply other bounds than those that the operators set.
+TEST(PlatformTranslation, BoundsGiveThoseOfQuotas) {
+  for (const char *Text :
+       {"quota-window-s=2.5,quota-overage=0.1,quota-slack=7",
+        R"({"quota-window-s":2.5,"quota-overage":0.1,"quota-slack":7})"}) {
+    const auto Reading = readRecord(fleetRecord(*readBounds(Text)));
+    ASSERT_TRUE(Reading.Accepted) << Text;
+    const auto &Fleet = std::get<FleetRecord>(Reading.Accepted->Body);
+    EXPECT_EQ(Fleet.QuotaWindow, Millis(2500)) << Text;
+    EXPECT_DOUBLE_EQ(Fleet.QuotaOverage, 0.1) << Text;
+    EXPECT_DOUBLE_EQ(Fleet.QuotaSlack, 7) << Text;
+  }
+  const auto Invalid = readBounds("quota-overage=-1");
+  ASSERT_FALSE(Invalid);
+  EXPECT_EQ(Invalid.error().Peer, "bounds.quota-overage");
+}
+
 TEST(PlatformTranslation, AMalformedBoundIsNamed) {
   for (const char *Text : {"retry-burst=many", R"({"retry-burst":"many"})",
                            R"({"retry-burst":null})", R"({"retry-burst":true})",
