--- a/include/siskinstage/record_limits.h
+++ b/include/siskinstage/record_limits.h
@@ -19,6 +19,8 @@
 inline constexpr double MaxRate = 1e9;
 inline constexpr double MaxRetryBudget = 1;
 inline constexpr double MaxRetryBurst = 1e6;
+inline constexpr double MaxQuotaOverage = 10;
+inline constexpr double MaxQuotaSlack = 1e6;
 inline constexpr std::size_t MaxNameBytes = 200;
 /// A day; a configuration in force for longer needs no limit.
 inline constexpr std::uint64_t MaxRevocationLimitMs = 86'400'000;
--- a/src/core/fleet/gossip_codec.cpp
+++ b/src/core/fleet/gossip_codec.cpp
@@ -1,5 +1,6 @@
 #include "core/fleet/gossip_codec.h"
 #include "core/address.h"
+#include "core/fleet/quota_codec.h"
 #include "core/records/record_parser.h"
 #include "siskinstage/config.h"
 
@@ -92,6 +93,12 @@
       this->Output["a"] = static_cast<Json::Int64>(Body.Age->count());
     this->Output["o"] = toJson(Body.StoreRevision.Value);
   }
+  void operator()(const QuotaRequest &Body) const {
+    writeQuota(Body, this->Output);
+  }
+  void operator()(const QuotaResponse &Body) const {
+    writeQuota(Body, this->Output);
+  }
   void operator()(const CrashReport &Body) const {
     this->Output["k"] = "crash";
     this->Output["s"] = toJson(Body.Fingerprint.Value);
@@ -209,6 +216,10 @@
     return readConfirmationRequest(Value);
   if (Kind == "confirmed")
     return readConfirmationResponse(Value);
+  if (Kind == QuotaRequestKind)
+    return readQuotaRequest(Value);
+  if (Kind == QuotaResponseKind)
+    return readQuotaResponse(Value);
   if (!Value["s"].isUInt64())
     return malformed("s");
   const std::uint64_t Sequence = Value["s"].asUInt64();
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -1,4 +1,5 @@
 #include "node/decision_loop.h"
+#include "core/requests/account_directory.h"
 #include "net/boot_time.h"
 #include "node/node_context.h"
 #include "siskinstage/config.h"
@@ -91,6 +92,7 @@
     this->Services.removeTarget(*Target);
   } else if (const auto *Bundle = std::get_if<BundleRecord>(&Old.Body)) {
     this->NextSnapshot.AccountsByKey.reset();
+    this->configureQuotas();
     for (const RouteRecord &Route : Bundle->Routes)
       this->NextSnapshot.Routes.remove(Route);
   }
@@ -120,6 +122,7 @@
 
 void DecisionLoop::applyBundle(const BundleRecord &New) {
   this->NextSnapshot.AccountsByKey = New.Accounts;
+  this->configureQuotas();
   for (const RouteRecord &Route : New.Routes)
     this->NextSnapshot.Routes.add(Route);
   std::set<ServiceName> InBundle;
@@ -148,6 +151,10 @@
     Seeds.Seeds.push_back(Listed.Endpoint);
     NodeDomains.insert(Listed.Domain);
   }
+  this->Context.Quotas.setListed(
+      std::set<Address>(Seeds.Seeds.begin(), Seeds.Seeds.end()));
+  this->ListedNodes = Seeds.Seeds.size();
+  this->configureQuotas();
   const std::vector<Address> &ConfiguredSeeds =
       this->Context.NodeSettings.Seeds;
   Seeds.Seeds.insert(Seeds.Seeds.end(), ConfiguredSeeds.begin(),
@@ -177,6 +184,7 @@
   this->logEntryChange(Entries);
   this->NextSnapshot.EntryNodes = std::move(Entries);
   this->Services.updateServingNodes();
+  this->configureQuotas();
   this->SnapshotChanged = true;
 }
 
@@ -210,6 +218,24 @@
             {"members", std::to_string(this->NextSnapshot.LiveNodes.size())}});
 }
 
+void DecisionLoop::configureQuotas() {
+  const auto &Directory = this->NextSnapshot.AccountsByKey;
+  std::vector<Address> Sharing;
+  const bool Limited =
+      Directory &&
+      std::any_of(Directory->accounts().begin(), Directory->accounts().end(),
+                  [](const AccountRecord &Account) {
+                    return Account.RatePerSecond > 0;
+                  });
+  const bool HasEntries = this->Context.NodeSettings.EntriesPerDomain > 0;
+  if (Limited)
+    for (const SteeringNode &Node : HasEntries ? this->NextSnapshot.EntryNodes
+                                               : this->NextSnapshot.LiveNodes)
+      Sharing.push_back(Node.Endpoint);
+  const std::size_t Live = this->NextSnapshot.LiveNodes.size();
+  this->Context.Quotas.setEntries(Sharing, Live * 2 > this->ListedNodes);
+}
+
 void DecisionLoop::publish() {
   ++this->NextSnapshot.Version;
   this->NextSnapshot.HighestRevision = this->records().highest();
--- a/src/node/decision_loop.h
+++ b/src/node/decision_loop.h
@@ -27,6 +27,8 @@
 
 private:
   NodeContext &Context;
+  /// Other nodes that the instance list has as live.
+  std::size_t ListedNodes = 0;
   Snapshot NextSnapshot;
   bool SnapshotChanged = false;
   ServiceStates Services;
@@ -51,6 +53,8 @@
   [[nodiscard]] const RecordStore &records() const;
   /// Logs a change of the entry nodes of this node's failure domain.
   void logEntryChange(const std::vector<SteeringNode> &New) const;
+  /// Tells the quotas which nodes share them.
+  void configureQuotas();
   void publish();
 };
 
--- a/src/node/fleet/gossip_loop.cpp
+++ b/src/node/fleet/gossip_loop.cpp
@@ -84,6 +84,7 @@
     this->send(this->Members.tick(Now));
     if (const auto Request = this->Confirmations.tick(Now))
       this->send(Request->first, this->Members.compose(Request->second));
+    this->send(this->Context.Quotas.tick());
     if (this->Context.Drain.active() && !this->LeaveSent) {
       this->LeaveSent = true;
       this->send(this->Members.leave(Now));
@@ -152,6 +153,12 @@
   else if (const auto *Response =
                std::get_if<ConfirmationResponse>(&Message.Body))
     this->Confirmations.handle(*Response, Message.From);
+  else if (const auto *Request = std::get_if<QuotaRequest>(&Message.Body))
+    this->send(this->Context.Quotas.receive(Message.From.Endpoint,
+                                            Message.From.Process, *Request));
+  else if (const auto *Loan = std::get_if<QuotaResponse>(&Message.Body))
+    this->send(this->Context.Quotas.receive(Message.From.Endpoint,
+                                            Message.From.Process, *Loan));
   else
     this->compareDigests(Message);
 }
@@ -285,6 +292,15 @@
     this->send(Item.To, Item.Message);
 }
 
+void GossipLoop::send(std::vector<OutgoingQuota> Out) {
+  for (OutgoingQuota &Item : Out)
+    std::visit(
+        [&](auto &Body) {
+          this->send(Item.To, this->Members.compose(std::move(Body)));
+        },
+        Item.Message);
+}
+
 void GossipLoop::send(const Address &To, GossipMessage Message) {
   // Without the records of the platform there is nothing to compare with.
   Message.RecordsDigest = this->Context.Snapshots.get()->HasPlatformRecords
--- a/src/node/operators/operator_pages.cpp
+++ b/src/node/operators/operator_pages.cpp
@@ -42,6 +42,10 @@
   const auto ViewAge = Context.ConfigView.get().age(bootNow());
   Values.setConfigViewAge(
       ViewAge ? std::chrono::duration<double>(*ViewAge).count() : -1);
+  const FleetQuota::Stats Quotas = Context.Quotas.stats();
+  Values.setQuotas(static_cast<double>(Quotas.Claim) / WholeQuota,
+                   Quotas.Claimants, static_cast<double>(Quotas.Accounts),
+                   static_cast<double>(Quotas.Full));
   const auto Current = Context.Snapshots.get();
   Current->ServiceViews.forEach(
       [&](const ServiceName &Name, const auto &Service) {
--- a/src/node/requests/keyed_flow.cpp
+++ b/src/node/requests/keyed_flow.cpp
@@ -195,6 +195,7 @@
     Result = Dispatching.proceed(true);
   }
   this->Admitted.reset();
+  this->returnQuota(*Result);
   return std::move(*Result);
 }
 
--- a/src/node/requests/request_flow.cpp
+++ b/src/node/requests/request_flow.cpp
@@ -218,6 +218,7 @@
   auto Result = this->Running->proceed(this->MayBlock);
   if (Result) {
     this->Admitted.reset();
+    this->returnQuota(*Result);
     this->sendResult(*Result);
     return std::nullopt;
   }
@@ -227,7 +228,33 @@
   return ConnectionHandler::Next::NeedsThread;
 }
 
+std::optional<Refusal> RequestFlow::admitByQuota() {
+  const auto Decision = this->Context.Quotas.admit(
+      this->Client.Name, this->Client.Quota, this->Current->Fleet);
+  this->Context.NodeMetrics.countQuota(
+      Decision.Admitted ? "admitted" : "refused", this->Client.Priority);
+  this->QuotaTaken = Decision.Admitted;
+  if (Decision.Admitted)
+    return std::nullopt;
+  return Refusal{
+      429,
+      Outcome::NotRun,
+      {Step::Limit, this->Client.Name.str(), "the account is over its quota"},
+      std::max<Duration>(Decision.RetryAfter, Millis(1))};
+}
+
+void RequestFlow::returnQuota(const DispatchResult &Result) {
+  const auto *Refused = std::get_if<Refusal>(&Result);
+  if (Refused == nullptr || Refused->RequestOutcome != Outcome::NotRun ||
+      !std::exchange(this->QuotaTaken, false))
+    return;
+  this->Context.Quotas.giveBack(this->Client.Name);
+  this->Context.NodeMetrics.countQuota("returned", this->Client.Priority);
+}
+
 std::optional<Refusal> RequestFlow::admitAccount() {
+  if (this->Client.Quota.PerSecond > 0)
+    return this->admitByQuota();
   const AccountRecord *Limited =
       this->Current->AccountRecords.find(this->Client.Name);
   if (Limited == nullptr)
--- a/src/node/requests/request_flow.h
+++ b/src/node/requests/request_flow.h
@@ -55,6 +55,7 @@
   /// When the timer of the current stage wakes the request.
   Instant TimerAt;
   std::optional<AccountSlot> Admitted;
+  bool QuotaTaken = false; ///< A token of the account's quota was taken.
   std::optional<Dispatcher> Running; ///< Of an unkeyed request.
 
   /// Handles the request by its path, its key or its route.
@@ -95,6 +96,10 @@
   /// Holds the request to the limits of its client account. \returns the
   /// refusal if they don't admit it.
   std::optional<Refusal> admitAccount();
+  /// The same for an account with a quota over all nodes.
+  std::optional<Refusal> admitByQuota();
+  /// Gives the token back if the request was refused for another reason.
+  void returnQuota(const DispatchResult &Result);
   [[nodiscard]] DispatchParams dispatchParams(const std::string &OwnedKey,
                                               std::function<void()> Wake);
   void sendResult(DispatchResult &Result);
