--- a/src/node/fleet/confirmation_exchange.cpp
+++ b/src/node/fleet/confirmation_exchange.cpp
@@ -24,6 +24,7 @@
   const auto Current = this->Context.Snapshots.get();
   if (!Current->limitsRevocation()) {
     this->Serving.reset();
+    this->LimitedSince = Now;
     this->setWithdrawn(false);
     return std::nullopt;
   }
@@ -116,9 +117,13 @@
       [](const Member &Node) { return Node.State != MemberState::Left; });
   const Duration Silence = confirmationPeriod(config::NodePollPeriod, Limit) *
                            config::PollPeriodsToCutOff;
+  const auto Age = View.age(Now);
+  // The first responses are due a period after the first accounts are listed.
+  const Instant Awaited = Age ? std::max(this->LastResponse, this->LimitedSince)
+                              : this->LastResponse;
   // A response that brought no younger view shows that the other nodes' views
   // are as old; without one, they may be younger.
-  const bool CutOff = Now - this->LastResponse > Silence;
+  const bool CutOff = Now - Awaited > Silence;
   this->setWithdrawn(OthersKnown && !View.mayServeKeyed(Now, Limit) &&
                      (CutOff || View.awaitsRecord()));
 }
--- a/src/node/fleet/confirmation_exchange.h
+++ b/src/node/fleet/confirmation_exchange.h
@@ -34,6 +34,7 @@
   std::uint64_t Seed;
   ConfirmationPoll Poll;
   Instant LastResponse;
+  Instant LimitedSince; ///< The revocation of keys has a limit since then.
   std::optional<bool> Serving; ///< As last logged.
   bool EntryChanged = false;
 
--- a/tests/integration/test_revocation.py
+++ b/tests/integration/test_revocation.py
@@ -2,6 +2,7 @@
 cut off, frozen, restarted or unavailable; and that keys which are valid are
 served while the configuration is young enough."""
 
+import concurrent.futures
 import signal
 import time
 import unittest
@@ -15,14 +16,13 @@
 DRAIN_S = 1.5
 #: A node reads or polls within a second once the disruption has ended.
 RESUME_S = 6.0
-PHASES = ("cut", "frozen", "restart", "old", "away", "peer")
+PHASES = ("cut", "frozen", "restart", "old", "away", "peer", "queue")
 
 
 class Revocation(unittest.TestCase):
     @classmethod
     def setUpClass(cls):
-        cls.fleet = PlatformFleet(nodes=6, services=("reads",), servers=4,
-                                  bounds=BOUNDS).__enter__()
+        cls.fleet = PlatformFleet(nodes=6, servers=4, bounds=BOUNDS).__enter__()
         cls.addClassCleanup(cls.fleet.stop)
         cls.keyed = KeyedFleet(cls.fleet, [f"{name}-key" for name in PHASES])
         cls.store = cls.fleet.store
@@ -194,6 +194,30 @@
             time.sleep(DRAIN_S)
         self.expect_no_late_runs(key)
 
+    def test_a_key_revoked_while_its_request_waits_for_a_slot(self):
+        """The decision is made again when a request leaves the queue."""
+        key = "queue-key"
+        self.expect_served([self.victim], key)
+        runs = self.keyed.runs(key)
+        servers = self.fleet.of_service("reads")
+        for server in servers:
+            server.work_s = 1.2
+        try:
+            slots = 3 * len(servers)
+            with concurrent.futures.ThreadPoolExecutor(slots + 1) as pool:
+                for _ in range(slots):
+                    pool.submit(self.keyed.send, self.victim, KEPT_KEY)
+                time.sleep(0.2)
+                waiting = pool.submit(self.keyed.send, self.victim, key)
+                time.sleep(0.1)
+                self.keyed.revoke(key)
+                status = waiting.result()[0]
+        finally:
+            for server in servers:
+                server.work_s = 0.02
+        self.assertEqual(status, 401)
+        self.assertEqual(self.keyed.runs(key), runs)
+
     def test_views_of_all_nodes_stay_young(self):
         """Without a disruption, each node's view is within the share of the
         limit in which keyed requests must be served; few calls reach the
--- a/tests/platform/platform_revocation.py
+++ b/tests/platform/platform_revocation.py
@@ -28,16 +28,10 @@
 
     def publish(self):
         """Puts a configuration with the present keys into the store."""
-        fleet = self.fleet
-        fleet.version += 2
-        fleet.store.put("op/config", {
-            "version": f"{fleet.version:08x}",
-            "routes": {"r1": route("/reads/", "reads"),
-                       "r2": dict(route("/open/", "reads"), public=True)},
-            "services": {"reads": {"health-path": "/health"}},
-            "limits": {},
-            "tenants": {f"tenant-{key}": {"api-keys": [key]}
-                        for key in sorted(self.keys)}})
+        self.fleet.configure(
+            {"r1": route("/reads/", "reads"),
+             "r2": dict(route("/open/", "reads"), public=True)},
+            {f"tenant-{key}": {"api-keys": [key]} for key in self.keys})
 
     def revoke(self, key):
         self.keys.remove(key)
