--- a/src/node/targets/gate_targets.cpp
+++ b/src/node/targets/gate_targets.cpp
@@ -126,4 +126,40 @@
   return bootNow() - Gauge.LastPlaced;
 }
 
+bool ServiceGate::usesOnlyOwnSlots(const ServiceView &View) {
+  // Without other serving nodes, there is nothing to divide.
+  if (!View.Group || View.Group->Nodes.size() <= 1)
+    return false;
+  std::uint32_t InFlight = 0;
+  std::uint32_t AssignedSlots = 0;
+  for (const TargetView &Target : View.Targets) {
+    InFlight += Target.Gauge->InFlight.load();
+    if (Target.SendsTrialRequests && Target.Verdict.Admitted)
+      AssignedSlots += slotsOf(View, Target);
+  }
+  return exceedsOwnSlots(InFlight, AssignedSlots);
+}
+
+std::vector<TargetRoom> ServiceGate::roomsOf(const ServiceView &View,
+                                             Instant Now) {
+  std::vector<TargetRoom> Rooms;
+  const bool Restricted = usesOnlyOwnSlots(View);
+  for (const TargetView &Target : View.Targets) {
+    if (!Target.Verdict.Admitted)
+      continue;
+    const TargetNotices &Notices = Target.Gauge->Notices;
+    const std::uint32_t Slots = slotsOf(View, Target);
+    // Other nodes use the rest of the slots that are not this node's own.
+    const std::uint32_t Usable =
+        Restricted && !Target.SendsTrialRequests
+            ? std::min(Slots, Target.Gauge->InFlight.load())
+            : Slots;
+    Rooms.push_back({static_cast<double>(Usable), Target.Gauge->InFlight.load(),
+                     Notices.backOffLeft(Now), Notices.rateLimit().limited(),
+                     Notices.rateLimit().share().PerSecond,
+                     Notices.allows(Now)});
+  }
+  return Rooms;
+}
+
 } // namespace siskinstage
--- a/src/node/targets/service_gate.h
+++ b/src/node/targets/service_gate.h
@@ -175,6 +175,9 @@
   /// share of its rate limit.
   static void updateNotices(const ServiceView &View, const TargetView &Target,
                             Instant Now);
+  /// Whether this node has as many requests at the service as its share of the
+  /// slots allows, see exceedsOwnSlots().
+  static bool usesOnlyOwnSlots(const ServiceView &View);
   static std::vector<TargetRoom> roomsOf(const ServiceView &View, Instant Now);
   /// Why a request that found no target must not wait until the targets allow
   /// it, if so.
