Requests wait by worth where accounts or priorities are configured

Cause: the queue of a gate was in arrival order, and its estimate of work the median of the service. The texts of gate rejections move to gate_rejection.cpp.

--- a/src/core/requests/route_table.cpp
+++ b/src/core/requests/route_table.cpp
@@ -1,6 +1,7 @@
 #include "core/requests/route_table.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace siskinstage {
 
@@ -67,6 +68,18 @@
     this->ByPrefix.set(Key, std::move(Routes));
 }
 
+bool RouteTable::prioritiesDiffer() const {
+  std::optional<std::uint32_t> First;
+  bool Differ = false;
+  this->ByPrefix.forEach([&](const auto &, const auto &Routes) {
+    for (const RouteRecord &Route : Routes) {
+      Differ = Differ || (First && *First != Route.Priority);
+      First = Route.Priority;
+    }
+  });
+  return Differ;
+}
+
 const RouteRecord *RouteTable::findForHost(const std::string &Host,
                                            std::string_view Path,
                                            std::string_view Method) const {
--- a/src/core/requests/route_table.h
+++ b/src/core/requests/route_table.h
@@ -24,6 +24,8 @@
   [[nodiscard]] const RouteRecord *find(const std::string &Host,
                                         std::string_view Path,
                                         std::string_view Method) const;
+  /// Whether not all routes have the same priority.
+  [[nodiscard]] bool prioritiesDiffer() const;
   [[nodiscard]] std::size_t size() const { return this->Count; }
 
 private:
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -178,6 +178,7 @@
     this->configureGates();
   } else if (const auto *Route = std::get_if<RouteRecord>(&New.Body)) {
     this->NextSnapshot.Routes.add(*Route);
+    this->configureGates();
   } else if (const auto *Account = std::get_if<AccountRecord>(&New.Body)) {
     this->NextSnapshot.AccountRecords.set(Account->Name, *Account);
   } else if (const auto *Service = std::get_if<ServiceRecord>(&New.Body)) {
@@ -220,6 +221,7 @@
       Removed.push_back(Name);
   for (const ServiceName &Name : Removed)
     this->removeService(Name);
+  this->configureGates();
 }
 
 void DecisionLoop::applyService(const ServiceRecord &New) {
@@ -361,9 +363,19 @@
   return retryShare(this->NextSnapshot.Fleet, View);
 }
 
+WaitQueue::OrderKind DecisionLoop::waitOrder() const {
+  const Snapshot &Next = this->NextSnapshot;
+  return Next.AccountsByKey || Next.Routes.prioritiesDiffer()
+             ? WaitQueue::OrderKind::Worth
+             : WaitQueue::OrderKind::Arrival;
+}
+
 void DecisionLoop::configureGates() {
-  for (auto &[Name, Service] : this->Services)
+  const auto Order = this->waitOrder();
+  for (auto &[Name, Service] : this->Services) {
     Service.Gate->configure(Service.Record.Policy, this->nodeRetryShare());
+    Service.Gate->setOrder(Order);
+  }
 }
 
 std::vector<SteeringNode>
--- a/src/node/decision_loop.h
+++ b/src/node/decision_loop.h
@@ -4,6 +4,7 @@
 #include "core/records/readiness.h"
 #include "core/records/record_store.h"
 #include "core/requests/retry_share.h"
+#include "core/requests/wait_queue.h"
 #include "core/targets/service_health.h"
 #include "node/records/config_update.h"
 #include "node/snapshot.h"
@@ -104,6 +105,9 @@
   void logEntryChange(const std::vector<SteeringNode> &New) const;
   /// This node's share of the fleet's retry budget.
   [[nodiscard]] RetryShare nodeRetryShare() const;
+  /// In which order waiting requests are served: by worth where the
+  /// configuration has accounts with API keys or priorities that differ.
+  [[nodiscard]] WaitQueue::OrderKind waitOrder() const;
   void configureGates();
   [[nodiscard]] std::vector<SteeringNode>
   servingNodes(const ServiceName &Name) const;
--- a/src/node/operators/metrics.cpp
+++ b/src/node/operators/metrics.cpp
@@ -34,6 +34,9 @@
       AccountChecks(
           counters(*this->Registry, "siskinstage_account_checks_total",
                    "Requests checked for an API key, by result and priority.")),
+      QueueRejections(
+          counters(*this->Registry, "siskinstage_queue_rejections_total",
+                   "Requests that got no slot, by reason and priority.")),
       AttemptFailures(counters(*this->Registry,
                                "siskinstage_attempt_failures_total",
                                "Tries at targets that failed, by kind.")),
@@ -102,6 +105,12 @@
       .Increment();
 }
 
+void Metrics::countQueueRejection(const char *Reason, std::uint32_t Priority) {
+  this->QueueRejections
+      .Add({{"reason", Reason}, {"priority", std::to_string(Priority)}})
+      .Increment();
+}
+
 void Metrics::countAttemptFailure(AttemptFailure::Kind Kind) {
   this->AttemptFailures.Add({{"kind", attemptFailureName(Kind)}}).Increment();
 }
--- a/src/node/operators/metrics.h
+++ b/src/node/operators/metrics.h
@@ -25,6 +25,8 @@
   void countRefusal(Step FailedStep, Outcome Result);
   /// \param Result why a request is or is not admitted by its API key.
   void countAccountCheck(const char *Result, std::uint32_t Priority);
+  /// A request got no slot. \param Reason why.
+  void countQueueRejection(const char *Reason, std::uint32_t Priority);
   void countAttemptFailure(AttemptFailure::Kind Kind);
   void countRetry();
   void countForward(const char *Result);
@@ -62,6 +64,7 @@
   prometheus::Family<prometheus::Counter> &Responses;
   prometheus::Family<prometheus::Counter> &Refusals;
   prometheus::Family<prometheus::Counter> &AccountChecks;
+  prometheus::Family<prometheus::Counter> &QueueRejections;
   prometheus::Family<prometheus::Counter> &AttemptFailures;
   prometheus::Counter &Retries;
   prometheus::Family<prometheus::Counter> &Forwards;
--- a/src/node/operators/state_dump.cpp
+++ b/src/node/operators/state_dump.cpp
@@ -61,6 +61,7 @@
           Service.MedianLatency)
           .count());
   Dump["waiting"] = Gate.Waiting;
+  Dump["waiting_order"] = Gate.ByWorth ? "worth" : "arrival";
   Dump["retries_left"] = Gate.RetriesLeft;
   Json::Value &Targets = Dump["targets"] = Json::Value(Json::arrayValue);
   for (const TargetView &Target : Service.Targets)
--- a/src/node/requests/dispatch_records.cpp
+++ b/src/node/requests/dispatch_records.cpp
@@ -102,6 +102,10 @@
   else if (Exchange.reportedInFlight())
     Target.Gauge->setReportedLoad(*Exchange.reportedInFlight(), bootNow());
   this->recordNotices(Target, Exchange, Elapsed);
+  if (!Exchange.isNotRun() && Exchange.response().Status < 500)
+    this->Params.Service->Gate->observeWork(
+        this->Params.Limits.Route, Elapsed,
+        this->Params.Body->replayBuffer().size());
   if (!Exchange.isNotRun())
     this->Context.RequestQuarantine.addResponse(this->RequestHash, bootNow());
   if (Exchange.isNotRun())
--- a/src/node/requests/dispatcher.cpp
+++ b/src/node/requests/dispatcher.cpp
@@ -27,26 +27,6 @@
   return std::chrono::duration_cast<Duration>(MaxWait * Rng.unit());
 }
 
-Error refusalCause(ServiceGate::Refusal Reason, const std::string &Service) {
-  switch (Reason) {
-  case ServiceGate::Refusal::NoTarget:
-    return {Step::Queue, Service, "no target is left to try"};
-  case ServiceGate::Refusal::QueueFull:
-    return {Step::Queue, Service, "too many requests wait for a slot"};
-  case ServiceGate::Refusal::TooLate:
-    return {Step::Queue, Service, "no slot comes free before the deadline"};
-  case ServiceGate::Refusal::Displaced:
-    return {Step::Queue, Service, "a more urgent request took its place"};
-  case ServiceGate::Refusal::Restricted:
-    return {Step::Queue, Service, "what the targets state leaves no room"};
-  case ServiceGate::Refusal::NoService:
-    return {Step::Route, Service, "the service is not configured"};
-  case ServiceGate::Refusal::Draining:
-    return {Step::Queue, Service, "the node is shutting down"};
-  }
-  return {Step::Queue, Service, "refused"};
-}
-
 } // namespace
 
 Dispatcher::Dispatcher(NodeContext &Context, DispatchParams Params)
@@ -95,6 +75,9 @@
   if (this->Params.Limits.Objective > Millis::zero())
     Placed.Objective =
         this->Params.Request->Arrived + this->Params.Limits.Objective;
+  Placed.Route = this->Params.Limits.Route;
+  Placed.LatencyObjective = this->Params.Limits.Objective;
+  Placed.BodyBytes = BodyBytes;
   Placed.Bytes = config::WaitingRequestBytes + BodyBytes;
   return Placed;
 }
@@ -102,6 +85,8 @@
 DispatchResult Dispatcher::rejectionResult(const GateRejection &Rejected) {
   if (this->FallbackResponse)
     return std::move(*this->FallbackResponse);
+  this->Context.NodeMetrics.countQueueRejection(refusalName(Rejected.Reason),
+                                                this->Params.Client.Priority);
   const Error Cause =
       refusalCause(Rejected.Reason, this->Params.Service->Record.Name.str());
   return this->refuse(503, Cause.FailedStep, Cause.Peer, Cause.Reason,
--- a/src/node/requests/dispatcher.h
+++ b/src/node/requests/dispatcher.h
@@ -27,6 +27,7 @@
   std::uint32_t MaxAttempts = 0;
   Millis Timeout{};
   Millis Objective{}; ///< Latency objective.
+  RouteName Route;
 };
 
 /// A request to dispatch to a target of one service.
--- a/src/node/requests/request_flow.cpp
+++ b/src/node/requests/request_flow.cpp
@@ -109,7 +109,8 @@
     return false;
   }
   this->RouteRepeatable = Route->Repeatable;
-  this->Limits = {Route->MaxAttempts, Route->Timeout, Route->Objective};
+  this->Limits = {Route->MaxAttempts, Route->Timeout, Route->Objective,
+                  Route->Name};
   const Millis Limit =
       std::min(this->Request.TimeLeft.value_or(this->Service->Record.Deadline),
                config::MaxDeadline);
--- a/src/node/targets/gate_rejection.h
+++ b/src/node/targets/gate_rejection.h
@@ -1,9 +1,11 @@
 #ifndef SISKINSTAGE_NODE_TARGETS_GATE_REJECTION_H
 #define SISKINSTAGE_NODE_TARGETS_GATE_REJECTION_H
 
+#include "siskinstage/error.h"
 #include "siskinstage/units.h"
 
 #include <optional>
+#include <string>
 
 namespace siskinstage {
 
@@ -25,6 +27,11 @@
   bool operator==(Refusal Other) const { return this->Reason == Other; }
 };
 
+/// What callers and the log are told.
+Error refusalCause(GateRejection::Refusal Reason, const std::string &Service);
+/// Name for metrics.
+const char *refusalName(GateRejection::Refusal Reason);
+
 } // namespace siskinstage
 
 #endif // SISKINSTAGE_NODE_TARGETS_GATE_REJECTION_H
--- a/src/node/targets/placement_params.h
+++ b/src/node/targets/placement_params.h
@@ -27,8 +27,12 @@
   TimerQueue *Timers = nullptr;
   AccountName Account;        ///< Empty for a request without an account.
   std::uint32_t Priority = 0; ///< 0 is the highest.
-  Instant Objective;          ///< The epoch if the route has no objective.
-  std::uint64_t Bytes = 0;    ///< Memory held while the request waits.
+  /// Its route; the estimate of its work is learned by route.
+  RouteName Route;
+  Duration LatencyObjective{}; ///< Of the route; zero for none.
+  std::uint64_t BodyBytes = 0;
+  Instant Objective;       ///< The epoch if the route has no objective.
+  std::uint64_t Bytes = 0; ///< Memory held while the request waits.
 };
 
 } // namespace siskinstage
--- a/src/node/targets/service_gate.cpp
+++ b/src/node/targets/service_gate.cpp
@@ -292,7 +292,8 @@
     const Room Space = roomOf(roomsOf(*Run.View, Now), Run.View->MedianLatency);
     this->reject(this->Queue.add({Entry->Id, Params.Account, Params.Priority,
                                   Now, Params.Deadline, Params.Objective,
-                                  Run.View->MedianLatency, Params.Bytes},
+                                  this->expectedWork(*Run.View, Params, Now),
+                                  Params.Bytes},
                                  Space, Now),
                  Run);
     this->assignSlots(Run);
@@ -373,7 +374,8 @@
 ServiceGate::Stats ServiceGate::stats() {
   const std::lock_guard<std::mutex> Guard(this->Lock);
   return {static_cast<std::uint32_t>(this->Queue.size()),
-          this->Budget.retriesLeft()};
+          this->Budget.retriesLeft(),
+          this->Order == WaitQueue::OrderKind::Worth};
 }
 
 } // namespace siskinstage
--- a/src/node/targets/service_gate.h
+++ b/src/node/targets/service_gate.h
@@ -4,6 +4,7 @@
 #include "core/requests/retry_budget.h"
 #include "core/requests/retry_share.h"
 #include "core/requests/wait_queue.h"
+#include "core/requests/work_estimate.h"
 #include "core/targets/observation.h"
 #include "core/targets/pick.h"
 #include "core/targets/target_choice.h"
@@ -37,6 +38,7 @@
   struct Stats {
     std::uint32_t Waiting = 0; ///< Requests in the queue.
     double RetriesLeft = 0;    ///< Retries in the budget.
+    bool ByWorth = false;      ///< The order, see WorthOrder.
   };
 
   /// Change of the probability that a target is in a gray-failure episode.
@@ -120,6 +122,11 @@
   /// Takes one retry from the budget. \returns false if there is none.
   [[nodiscard]] bool takeRetry();
   void configure(RoutingPolicy Policy, const RetryShare &Retries);
+  /// In which order waiting requests are served.
+  void setOrder(WaitQueue::OrderKind Order);
+  /// A request of \p Route took this long at a target.
+  void observeWork(const RouteName &Route, Duration Took,
+                   std::uint64_t BodyBytes);
   [[nodiscard]] Stats stats();
 
 private:
@@ -148,6 +155,14 @@
   WaitQueue Queue;
   std::unordered_map<std::uint64_t, std::shared_ptr<SlotWait::Entry>> Waiting;
   std::uint64_t NextWait = 1;
+  WaitQueue::OrderKind Order = WaitQueue::OrderKind::Arrival;
+  /// Routes of the configuration only, so that their number is bounded.
+  std::unordered_map<RouteName, WorkEstimate> Work;
+
+  /// Estimated time of the request at a target.
+  [[nodiscard]] Duration expectedWork(const ServiceView &View,
+                                      const PlacementParams &Params,
+                                      Instant Now) const;
   bool PollDue = false; ///< A timer is set to call poll().
 
   /// The targets that the request may be sent to now.
