--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -99,6 +99,9 @@
 /// beside the 18 MB of an idle node in the smallest machine's 112 MB.
 inline constexpr std::uint64_t MaxQueueBytesPerService = 48 * 1024 * 1024;
 inline constexpr std::chrono::milliseconds MaxQueueWait = 2s;
+/// Longest planned Retry-After of a request that a queue rejects: a burst lasts
+/// some seconds, and capacity is not known further ahead.
+inline constexpr std::chrono::milliseconds MaxWaitRetryAfter = 5s;
 inline constexpr std::chrono::milliseconds QueuePollPeriod = 20ms;
 
 // Choice among targets. Penalties are fractions of a target's slots.
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -105,6 +105,7 @@
     this->Services.configureGates();
   } else if (const auto *Route = std::get_if<RouteRecord>(&New.Body)) {
     this->NextSnapshot.Routes.add(*Route);
+    this->Services.configureGates();
   } else if (const auto *Account = std::get_if<AccountRecord>(&New.Body)) {
     this->NextSnapshot.AccountRecords.set(Account->Name, *Account);
   } else if (const auto *Service = std::get_if<ServiceRecord>(&New.Body)) {
@@ -134,6 +135,7 @@
     if (InBundle.count(Name) == 0 &&
         this->records().find({RecordKind::Service, Name.str()}) == nullptr)
       this->Services.removeService(Name);
+  this->Services.configureGates();
 }
 
 void DecisionLoop::apply(InstanceBatch &Batch) {
--- a/src/node/operators/metrics.h
+++ b/src/node/operators/metrics.h
@@ -29,6 +29,8 @@
   void countQuota(const char *Result, std::uint32_t Priority);
   /// \param Claim fraction of all quotas that this node has, without loans.
   void setQuotas(double Claim, double Claimants, double Accounts, double Full);
+  /// A request got no slot. \param Reason why.
+  void countQueueRejection(const char *Reason, std::uint32_t Priority);
   void countAttemptFailure(AttemptFailure::Kind Kind);
   void countRetry();
   void countForward(const char *Result);
@@ -66,6 +68,7 @@
   prometheus::Family<prometheus::Counter> &Responses;
   prometheus::Family<prometheus::Counter> &Refusals;
   prometheus::Family<prometheus::Counter> &AccountChecks;
+  prometheus::Family<prometheus::Counter> &QueueRejections;
   prometheus::Family<prometheus::Counter> &AttemptFailures;
   prometheus::Family<prometheus::Counter> &QuotaRequests;
   prometheus::Gauge &QuotaClaim;
--- a/src/node/targets/service_states.cpp
+++ b/src/node/targets/service_states.cpp
@@ -149,9 +149,19 @@
   return retryShare(this->NextSnapshot.Fleet, View);
 }
 
+WaitQueue::OrderKind ServiceStates::waitOrder() const {
+  const Snapshot &Next = this->NextSnapshot;
+  return Next.AccountsByKey || Next.Routes.prioritiesDiffer()
+             ? WaitQueue::OrderKind::Worth
+             : WaitQueue::OrderKind::Arrival;
+}
+
 void ServiceStates::configureGates() {
-  for (auto &[Name, Service] : this->Services)
+  const auto Order = this->waitOrder();
+  for (auto &[Name, Service] : this->Services) {
     Service.Gate->configure(Service.Record.Policy, this->nodeRetryShare());
+    Service.Gate->setOrder(Order);
+  }
 }
 
 std::vector<SteeringNode>
--- a/src/node/targets/service_states.h
+++ b/src/node/targets/service_states.h
@@ -2,6 +2,7 @@
 #define SISKINSTAGE_NODE_TARGETS_SERVICE_STATES_H
 
 #include "core/requests/retry_share.h"
+#include "core/requests/wait_queue.h"
 #include "core/targets/service_health.h"
 #include "node/snapshot.h"
 
@@ -39,7 +40,8 @@
   void setLeaving(std::set<Address> Leaving);
   /// Applies a change of the live nodes and entry nodes of the snapshot.
   void updateServingNodes();
-  /// Gives each gate its share of the fleet's retry budget.
+  /// Gives each gate its share of the fleet's retry budget, and the order in
+  /// which waiting requests are served.
   void configureGates();
   /// Evaluates the targets. \returns whether the snapshot has changed.
   bool decideAll(Instant Now);
@@ -85,6 +87,9 @@
   void assembleService(const ServiceName &Name);
   /// This node's share of the fleet's retry budget.
   [[nodiscard]] RetryShare nodeRetryShare() const;
+  /// By worth where the configuration has accounts with API keys or priorities
+  /// that differ.
+  [[nodiscard]] WaitQueue::OrderKind waitOrder() const;
   [[nodiscard]] std::vector<SteeringNode>
   servingNodes(const ServiceName &Name) const;
   void setServingNodes(ServiceState &Service,
