--- a/src/node/targets/gate_targets.cpp
+++ b/src/node/targets/gate_targets.cpp
@@ -16,6 +16,18 @@
           !View.Group || isInCharge(Node, PerSecond, *View.Group, Target.Spec)};
 }
 
+/// Slots of the targets that are assigned to this node; zero if the targets are
+/// not divided among several nodes, or this node has none of them.
+std::uint32_t assignedSlots(const ServiceView &View) {
+  if (!View.Group || View.Group->Nodes.size() <= 1)
+    return 0;
+  std::uint32_t Slots = 0;
+  for (const TargetView &Target : View.Targets)
+    if (Target.SendsTrialRequests && Target.Verdict.Admitted)
+      Slots += slotsOf(View, Target);
+  return Slots;
+}
+
 } // namespace
 
 ServiceGate::EstimateChange ServiceGate::addEvidence(TargetGauge &Gauge,
@@ -127,33 +139,25 @@
 }
 
 bool ServiceGate::usesOnlyOwnSlots(const ServiceView &View) {
-  // Without other serving nodes, there is nothing to divide.
-  if (!View.Group || View.Group->Nodes.size() <= 1)
-    return false;
+  const std::uint32_t Assigned = assignedSlots(View);
   std::uint32_t InFlight = 0;
-  std::uint32_t AssignedSlots = 0;
-  for (const TargetView &Target : View.Targets) {
+  for (const TargetView &Target : View.Targets)
     InFlight += Target.Gauge->InFlight.load();
-    if (Target.SendsTrialRequests && Target.Verdict.Admitted)
-      AssignedSlots += slotsOf(View, Target);
-  }
-  return exceedsOwnSlots(InFlight, AssignedSlots);
+  return Assigned > 0 && exceedsOwnSlots(InFlight, Assigned);
 }
 
 std::vector<TargetRoom> ServiceGate::roomsOf(const ServiceView &View,
                                              Instant Now) {
   std::vector<TargetRoom> Rooms;
-  const bool Restricted = usesOnlyOwnSlots(View);
+  // Where the targets are divided among nodes, the slots of the others'
+  // targets are no capacity to count on.
+  const bool Divided = assignedSlots(View) > 0;
   for (const TargetView &Target : View.Targets) {
     if (!Target.Verdict.Admitted)
       continue;
     const TargetNotices &Notices = Target.Gauge->Notices;
-    const std::uint32_t Slots = slotsOf(View, Target);
-    // Other nodes use the rest of the slots that are not this node's own.
     const std::uint32_t Usable =
-        Restricted && !Target.SendsTrialRequests
-            ? std::min(Slots, Target.Gauge->InFlight.load())
-            : Slots;
+        Divided && !Target.SendsTrialRequests ? 0 : slotsOf(View, Target);
     Rooms.push_back({static_cast<double>(Usable), Target.Gauge->InFlight.load(),
                      Notices.backOffLeft(Now), Notices.rateLimit().limited(),
                      Notices.rateLimit().share().PerSecond,
