--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -172,21 +172,8 @@
 /// together than they were admitted, and for entry nodes that change.
 inline constexpr double QuotaOverageUse = 0.6;
 inline constexpr double QuotaSlackUse = 0.9;
-/// Shortest life of a loan: a renewal can be tried four times in its second
-/// half.
-inline constexpr std::chrono::milliseconds QuotaLoanTime = 4s;
 /// Part of its life after which a loan is renewed.
 inline constexpr double QuotaRenewFraction = 0.5;
-/// Period in which a claimant asks each other one whether it is in contact. It
-/// grows with the number of claimants, which keeps the traffic of a node the
-/// same.
-inline constexpr std::chrono::milliseconds QuotaContactPeriod = 4s;
-inline constexpr std::chrono::milliseconds QuotaContactPeriodPerNode = 500ms;
-/// A claim ends this many contact periods after the contact with half of the
-/// claimants, and a silent claimant is forgotten after QuotaForgetPeriods: the
-/// claim has then ended, and all loans from it.
-inline constexpr int QuotaContactPeriods = 2;
-inline constexpr int QuotaForgetPeriods = 4;
 /// A node that is no entry any more keeps its claim for as long as callers use
 /// a response of the directory, 6 s, and a second.
 inline constexpr std::chrono::milliseconds QuotaDemotionTime = 7s;
@@ -197,14 +184,8 @@
 /// A bucket whose claim was not confirmed for this long by the gossip thread is
 /// empty: the process may have been frozen.
 inline constexpr std::chrono::milliseconds QuotaTickTimeout = 2s;
-/// Part of its own claim that a node keeps for new demand.
-inline constexpr double QuotaKeepFraction = 0.15;
-/// Requests for loans and contacts that a node sends per second on average.
-inline constexpr double QuotaRequestsPerSecond = 4;
+/// Requests for loans and contacts that a node may send at once.
 inline constexpr double QuotaRequestBurst = 60;
-/// First and last interval at which other nodes are asked for more.
-inline constexpr std::chrono::milliseconds QuotaRetryMin = 250ms;
-inline constexpr std::chrono::milliseconds QuotaRetryMax = 4s;
 /// Accounts in one message, which then fits into a datagram.
 inline constexpr std::size_t QuotaItemsPerMessage = 14;
 /// State of an account that was not used for this long is dropped.
--- a/include/siskinstage/fleet_config.h
+++ b/include/siskinstage/fleet_config.h
@@ -118,7 +118,6 @@
 inline constexpr std::size_t MinUnreachableDomains = 2;
 
 // Soft state between nodes.
-inline constexpr std::size_t MaxSoftStateEntries = 20'000;
 inline constexpr std::size_t MaxSoftStateKeyBytes = 200;
 inline constexpr std::size_t MaxSoftStateValueBytes = 400;
 /// A few periods in which an owner writes an entry again.
--- a/tests/unit/wait_replay_test.cpp
+++ b/tests/unit/wait_replay_test.cpp
@@ -38,11 +38,7 @@
   const double Known = idealValue(Played, true);
   print("by worth", Worth, Ideal, Known);
   print("by arrival", Arrival, Ideal, Known);
-  // At twice the capacity each retry of a kind counts for the quarter that the
-  // kind is served at least, which costs more than the ideal schedule pays.
-  const bool ManyRetries =
-      Played.Source.Kind == Disturbance::Retries && Played.Source.Load >= 2;
-  EXPECT_GE(Worth.Value / Ideal, ManyRetries ? 0.94 : 0.95);
+  EXPECT_GE(Worth.Value / Ideal, 0.95);
   EXPECT_GE(Worth.Value, Arrival.Value);
   EXPECT_GE(Worth.WorstKind, 0.25);
   EXPECT_GE(Worth.WorstAccount, 0.25);
@@ -98,8 +94,9 @@
   }
   std::printf("served of accounts over their rate %.2f, of the others %.2f\n",
               Served[1] / Offered[1], Served[0] / Offered[0]);
-  EXPECT_GE(Served[0] / Offered[0], 0.72);
-  EXPECT_LE(Served[1] / Offered[1], 0.45);
+  // The capacity serves 1 / 1.3 of what the others ask for by themselves.
+  EXPECT_GE(Served[0] / Offered[0], 0.95 / Source.Load);
+  EXPECT_LT(Served[1] / Offered[1], Served[0] / Offered[0]);
 }
 
 } // namespace
