Nodes that are no entries give up their part of the quotas

Change: a claim that no account uses ends with the role; a node that has given up its claim and lends nothing says so (field w of the gossip message quota), and is not counted any more; a node that counts more claimants is asked again after 1 s. test_accounts waits for the claims, as a node that has just started admits nothing of an account with a quota.

--- a/src/core/fleet/confirmation_limits.h
+++ b/src/core/fleet/confirmation_limits.h
@@ -17,7 +17,7 @@
 /// A peer with an older view than this fraction of the limit is replaced by
 /// another one: up to this age, requests must be served.
 inline constexpr double UsefulViewFraction = 0.6;
-/// The revocation limit for which the periods below are chosen: with them the
+/// The revocation limit that the periods below fit: with them the
 /// view of any node is at most 2.7 s old, 1 s from the watcher's read, 0.5 s
 /// and 1 s from the polls, and a read of up to 0.2 s.
 inline constexpr std::chrono::milliseconds ReferenceRevocationLimit = 5s;
--- a/src/core/fleet/confirmation_poll.h
+++ b/src/core/fleet/confirmation_poll.h
@@ -12,7 +12,7 @@
 namespace siskinstage {
 
 /// \p Period shortened in proportion if \p Limit is lower than the revocation
-/// limit for which the periods are chosen.
+/// limit that the periods fit.
 Duration confirmationPeriod(Duration Period, Duration Limit);
 
 /// The nodes that one node asks for the age of their confirmed view, in order
--- a/src/core/fleet/quota_codec.cpp
+++ b/src/core/fleet/quota_codec.cpp
@@ -65,6 +65,8 @@
   Output["k"] = QuotaRequestKind;
   Output["s"] = toJson(Body.Sequence);
   Output["c"] = Body.Claims;
+  if (Body.Withdraws)
+    Output["w"] = true;
   Output["j"] = toJson(Body.ClaimsForMs);
   for (const QuotaAsk &Ask : Body.Asks) {
     Json::Value Item(Json::arrayValue);
@@ -98,12 +100,15 @@
     return malformed("s");
   if (!Value["c"].isBool())
     return malformed("c");
+  if (Value.isMember("w") && !Value["w"].isBool())
+    return malformed("w");
   if (!isNumber(Value["j"], MaxTimeMs))
     return malformed("j");
   if (!isList(Value["q"]))
     return malformed("q");
   Body.Sequence = Value["s"].asUInt64();
   Body.Claims = Value["c"].asBool();
+  Body.Withdraws = Value.isMember("w") && Value["w"].asBool();
   Body.ClaimsForMs = Value["j"].asUInt64();
   for (const Json::Value &Item : Value["q"]) {
     constexpr auto Whole = static_cast<std::uint64_t>(WholeQuota);
--- a/src/core/requests/fleet_quota.cpp
+++ b/src/core/requests/fleet_quota.cpp
@@ -141,7 +141,9 @@
       this->Accounts.begin(), this->Accounts.end(), [&](const auto &Item) {
         return Item.second.Loans.due(To, Duration::zero(), Now);
       });
-  if (!Due && !this->Shares.mustContact(To, Known.SentAt, Now))
+  const bool Withdraws =
+      Known.ToldClaim && !this->Shares.claims() && !this->lends(Now);
+  if (!Due && !Withdraws && !this->Shares.mustContact(To, Known.SentAt, Now))
     return std::nullopt;
   QuotaRequest Request;
   Request.Sequence = this->NextSequence;
@@ -159,6 +161,9 @@
     this->setClaim(Item, Now);
   }
   Request.Claims = this->Shares.claims();
+  Request.Withdraws = Withdraws;
+  Known.ToldClaim = Known.ToldClaim || Request.Claims;
+  Known.ToldWithdrawn = Withdraws;
   Request.ClaimsForMs =
       static_cast<std::uint64_t>(inMillis(this->Shares.wantedFor(Now)).count());
   Known.Sent = this->NextSequence++;
@@ -167,6 +172,12 @@
   return Request;
 }
 
+bool FleetQuota::lends(Instant Now) const {
+  return std::any_of(
+      this->Accounts.begin(), this->Accounts.end(),
+      [Now](const auto &Item) { return Item.second.Loans.lent(Now) > 0; });
+}
+
 std::vector<OutgoingQuota> FleetQuota::tick(Instant Now) {
   std::vector<OutgoingQuota> Out;
   this->SendTokens = std::min(
@@ -175,6 +186,7 @@
           RequestsPerSecond *
               std::chrono::duration<double>(Now - this->LastTick).count());
   this->LastTick = Now;
+  this->Shares.setInUse(!this->Accounts.empty());
   this->Shares.update(Now);
   const std::vector<Address> Lenders = this->Shares.lenders();
   for (auto Item = this->Accounts.begin(); Item != this->Accounts.end();) {
@@ -282,6 +294,8 @@
       this->Shares.knewBefore(From, Millis(Request.ClaimsForMs), Now);
   if (Request.Claims)
     this->Shares.noteClaimant(From, Now);
+  if (Request.Withdraws)
+    this->Shares.noteWithdrawn(From, Now);
   QuotaResponse Response = this->newResponse(Request.Sequence);
   Response.KnownBefore = KnownBefore;
   const Millis Life(Response.LifeMs);
@@ -301,6 +315,7 @@
   std::optional<Instant> SentAt;
   if (Known.Waiting && Response.Echo == Known.Sent) {
     Known.Waiting = false;
+    Known.ToldClaim = Known.ToldClaim && !Known.ToldWithdrawn;
     SentAt = Known.SentAt;
     this->Shares.noteResponse(From, Known.SentAt, Response, Now);
   }
--- a/src/core/requests/fleet_quota.h
+++ b/src/core/requests/fleet_quota.h
@@ -62,7 +62,9 @@
     std::uint64_t Received = 0; ///< Sequence of its latest request.
     std::uint64_t Sent = 0;
     Instant SentAt;
-    bool Waiting = false; ///< For the response to that request.
+    bool Waiting = false;       ///< For the response to that request.
+    bool ToldClaim = false;     ///< It may count this node.
+    bool ToldWithdrawn = false; ///< In that request.
   };
   struct Account {
     std::optional<AccountQuota> Bucket;
@@ -103,6 +105,8 @@
               std::vector<OutgoingQuota> &Out);
   void handle(const Address &From, const QuotaResponse &Response, Instant Now);
   [[nodiscard]] QuotaResponse newResponse(std::uint64_t Echo) const;
+  /// Whether a loan of this node's claim may still be in use.
+  [[nodiscard]] bool lends(Instant Now) const;
 };
 
 } // namespace siskinstage
--- a/src/core/requests/quota_message.h
+++ b/src/core/requests/quota_message.h
@@ -29,6 +29,8 @@
 struct QuotaRequest {
   std::uint64_t Sequence = 0; ///< Increases within a process.
   bool Claims = false; ///< The sender has a claim of its own or wants it.
+  /// The sender has no claim any more and lends none: it is not counted on.
+  bool Withdraws = false;
   /// How long the sender has wanted a claim of its own.
   std::uint64_t ClaimsForMs = 0;
   std::vector<QuotaAsk> Asks;
--- a/src/core/requests/quota_shares.cpp
+++ b/src/core/requests/quota_shares.cpp
@@ -26,6 +26,9 @@
 /// A claim that not all others count within this time is given up: one of them
 /// has become silent.
 constexpr Millis ClaimingLimit{3000};
+/// A node that counts more claimants than this one is asked again after this:
+/// it may count one that has withdrawn.
+constexpr Millis CountRefreshTime{1000};
 /// Part of the waiting time after which a silent node is asked again.
 constexpr int RetryDivisor = 8;
 
@@ -75,6 +78,15 @@
   this->update(Now);
 }
 
+void QuotaShares::noteWithdrawn(const Address &Node, Instant Now) {
+  const auto Found = this->Others.find(Node);
+  if (Found == this->Others.end())
+    return;
+  Found->second.Counted = false;
+  Found->second.Nodes = 0;
+  this->update(Now);
+}
+
 void QuotaShares::noteResponse(const Address &Node, Instant SentAt,
                                const QuotaResponse &Response, Instant Now) {
   const auto Found = this->Others.find(Node);
@@ -171,8 +183,11 @@
 }
 
 void QuotaShares::advance(std::size_t Nodes, Instant Now) {
-  const bool Wanted =
-      this->EntryAt && Now - *this->EntryAt <= config::QuotaDemotionTime;
+  // A node that took itself for an entry while it started has no callers.
+  const bool Keeps = this->State == Phase::Active && this->InUse &&
+                     this->EntryAt &&
+                     Now - *this->EntryAt <= config::QuotaDemotionTime;
+  const bool Wanted = this->IsEntry || Keeps;
   if (!Wanted)
     this->State = Phase::None;
   else if (this->State == Phase::None)
@@ -234,7 +249,9 @@
            Now - LastSent >
                std::max<Duration>(config::QuotaResponseTimeout,
                                   this->wantedFor(Now) / RetryDivisor);
-  return Now - std::max(LastSent, Contact) > this->contactPeriod();
+  const bool CountsMore = Found->second.Nodes > this->countedNodes();
+  return Now - std::max(LastSent, Contact) >
+         (CountsMore ? CountRefreshTime : this->contactPeriod());
 }
 
 std::vector<Address> QuotaShares::others() const {
--- a/src/core/requests/quota_shares.h
+++ b/src/core/requests/quota_shares.h
@@ -38,6 +38,11 @@
   void setListed(std::set<Address> Live);
   /// Another node has asked as a claimant.
   void noteClaimant(const Address &Node, Instant Now);
+  /// Another node has given up its claim and lends nothing.
+  void noteWithdrawn(const Address &Node, Instant Now);
+  /// Sets whether this node has requests or loans of any account. If not, it
+  /// gives up its claim as soon as it is no entry.
+  void setInUse(bool New) { this->InUse = New; }
   /// Another node has responded to a request of this process.
   void noteResponse(const Address &Node, Instant SentAt,
                     const QuotaResponse &Response, Instant Now);
@@ -91,6 +96,7 @@
   Address Self;
   Instant Started;
   bool Complete = false;
+  bool InUse = false;
   bool IsEntry = false;
   std::optional<Instant> EntryAt; ///< When this node was last an entry.
   std::map<Address, Other> Others;
--- a/tests/integration/test_accounts.py
+++ b/tests/integration/test_accounts.py
@@ -26,6 +26,13 @@
         self.fleet = PlatformFleet(nodes=2).__enter__()
         self.addCleanup(self.fleet.stop)
         self.put(ACCOUNTS)
+        # Without its claim, a node that has just started admits nothing of an
+        # account with a quota.
+        wait_for(lambda: sum(self.claim(n) for n in self.fleet.nodes) > 0.9,
+                 SPREAD_S, "the claims of the nodes")
+
+    def claim(self, node):
+        return json.loads(fetch(node, OPERATOR, "/state")[2])["quotas"]["claim"]
 
     def put(self, accounts):
         self.fleet.configure(ROUTES, accounts)
--- a/tests/unit/gossip_test.cpp
+++ b/tests/unit/gossip_test.cpp
@@ -35,7 +35,7 @@
       ConfirmationRequest{~0ULL, {7}},
       ConfirmationResponse{~0ULL, {6}, Millis(1'250), {7}},
       ConfirmationResponse{1, {6}, std::nullopt, {7}},
-      QuotaRequest{7, true, 900, {{~0ULL, 400'000, 10, 2.5, 30}}},
+      QuotaRequest{7, true, true, 900, {{~0ULL, 400'000, 10, 2.5, 30}}},
       QuotaResponse{7, 6, true, 4000, {{~0ULL, 390'000, 1500}}}};
   for (const GossipBody &Body : Bodies) {
     const GossipMessage Sent = sample(Body);
--- a/tests/unit/quota_replay.h
+++ b/tests/unit/quota_replay.h
@@ -43,6 +43,11 @@
   std::function<double(int, double)> Demand;
   std::vector<QuotaOutage> Outages;
   std::vector<QuotaCut> Cuts;
+  /// Nodes that are entries, from the first on; zero for all.
+  int Entries = 0;
+  /// Until then, in seconds, each node takes itself for an entry, with those
+  /// that it has found so far.
+  double ViewsSettle = 0;
 };
 
 struct QuotaResult {
@@ -231,7 +236,10 @@
       if (I == Index || (this->Nodes[I].Runs && !this->isCut(Index, I, Time) &&
                          !this->isCut(I, Index, Time)))
         Reached = Time;
-      if (Time - Reached < DetectionTime)
+      const bool IsEntry = this->Load.Entries == 0 || I < this->Load.Entries;
+      const bool Found = Time >= this->Load.ViewsSettle || I >= Index;
+      if (Time - Reached < DetectionTime &&
+          (Time < this->Load.ViewsSettle ? Found : IsEntry))
         View.push_back(addressOf(I));
     }
     if (View == Here.View)
--- a/tests/unit/quota_replay_test.cpp
+++ b/tests/unit/quota_replay_test.cpp
@@ -33,6 +33,19 @@
     }
 }
 
+/// Fails if nodes that take themselves for entries while a fleet starts are
+/// counted on: of 110 nodes 35 were, and six entries had 6/35 of the quotas.
+TEST(QuotaReplay, NodesThatAreNoEntriesAfterTheStartTakeNoShare) {
+  QuotaLoad Load = loadAt(0, 6, 500);
+  Load.Nodes = 24;
+  Load.Entries = 6;
+  Load.ViewsSettle = 1.5;
+  Load.WarmUp = 8;
+  const QuotaResult Result = QuotaReplay(Load).run();
+  EXPECT_LE(Result.falseShare(10, 30), MaxFalseSteady);
+  EXPECT_LE(Result.WorstWindow, Result.Allowed);
+}
+
 /// Fails if the shares follow callers that move to other nodes too slowly.
 TEST(QuotaReplay, SharesFollowTheDemand) {
   for (const double Rate : {100.0, 500.0}) {
