--- a/review/6/smuggled_request.cpp
+++ b/review/6/smuggled_request.cpp
@@ -61,7 +61,7 @@
     Sent.DeadlineMs = 2000;
     Sent.Fields = {"X-Note: " +
                    (All.Trouble ? encodedWord(Text) : std::string("a note"))};
-    const Nodes::Node &Node = All.Fleet.All[I % 2];
+    const Nodes::Node &Node = *All.entryFor(I % 2 == 0 ? "norte-a" : "norte-b");
     const auto Peer = Conn::open(Node.Ip, All.Fleet.Front, 1);
     const Answer Got = Peer ? exchange(*Peer, Sent) : Answer();
     Served += Got.Status == 200 ? 1 : 0;
--- a/review/common-2/standins.h
+++ b/review/common-2/standins.h
@@ -927,6 +927,38 @@
     this->Log.line("traffic starts; trouble: %s", this->Trouble ? "yes" : "no");
   }
 
+  /// The machine that the directory names to a client of \p Zone, which keeps
+  /// the answer for as long as the directory says, two seconds. Null if there
+  /// is none.
+  Nodes::Node *entryFor(const std::string &Zone) {
+    const std::lock_guard<std::mutex> Guard(this->DirectoryLock);
+    auto &[Until, Known] = this->Resolved[Zone];
+    if (now() < Until && Known != nullptr)
+      return Known;
+    for (const Nodes::Node &Asked : this->Fleet.All) {
+      const auto Peer = Conn::open(Asked.Ip, this->Fleet.Directory, 1);
+      const std::string Uri = std::string("/api/resolve?name=") + HostName +
+                              "&region=norte&zone=" + Zone;
+      if (!Peer || !Peer->send("GET " + Uri +
+                                   " HTTP/1.1\r\nHost: d\r\nConnection: "
+                                   "close\r\n\r\n",
+                               now() + 1))
+        continue;
+      const auto Got = Peer->head(now() + 1);
+      std::string Body;
+      if (!Got || Got->word(1) != "200" || !Peer->body(*Got, Body, now() + 1))
+        continue;
+      for (Nodes::Node &Each : this->Fleet.All)
+        if (Body.find("\"" + Each.Ip + ":" + std::to_string(this->Fleet.Front) +
+                      "\"") != std::string::npos) {
+          Known = &Each;
+          Until = now() + 2;
+          return Known;
+        }
+    }
+    return Known;
+  }
+
   std::string attemptId() {
     char Text[32];
     std::snprintf(Text, sizeof(Text), "%016x", 0x1000 + ++this->Attempts);
@@ -937,6 +969,8 @@
   int Base = 0;
   int Version = 5;
   std::atomic<int> Attempts{0};
+  std::mutex DirectoryLock;
+  std::map<std::string, std::pair<double, Nodes::Node *>> Resolved;
 
   void choosePorts() {
     std::random_device Device;
