--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -7,7 +7,7 @@
 CASE_TEMP=$(mktemp -d)
 trap 'rm -rf "$CASE_TEMP"' EXIT
 export CASE_FOLDER REPOSITORY CASE_TEMP
-program="$REPOSITORY/target/review-2/silent_answer"
+program="$REPOSITORY/target/review-2/left_server_returns"
 if [ ! -x "$program" ] || [ ! -x "$REPOSITORY/target/siskinstage-platform" ]; then
   echo "build the deploy file and run review/build-2.sh first" >&2
   exit 2
