--- a/review/common-2/standins.h
+++ b/review/common-2/standins.h
@@ -83,6 +83,9 @@
   std::FILE *File;
 };
 
+/// The record of the case, once it is open.
+inline Record *CaseRecord = nullptr;
+
 inline std::string lower(std::string Text) {
   for (char &Letter : Text)
     Letter =
@@ -606,6 +609,10 @@
         this->reject(Peer, *Request, 421);
         continue;
       }
+      if (CaseRecord != nullptr)
+        CaseRecord->line("%s begins %s %s, Attempt-Id %s", this->Id.c_str(),
+                         Request->word(0).c_str(), Request->word(1).c_str(),
+                         Request->field("attempt-id").c_str());
       if (!this->Run(*this, Peer, *Request))
         return;
     }
@@ -797,6 +804,10 @@
   std::string Text =
       message(Sent.Method + " " + Sent.Path + " HTTP/1.1", Fields, Sent.Body);
   Answer Result;
+  if (CaseRecord != nullptr)
+    CaseRecord->line("client sends %s %s, Attempt-Id %s, %zu bytes",
+                     Sent.Method.c_str(), Sent.Path.c_str(),
+                     Sent.AttemptId.c_str(), Sent.Body.size());
   if (Sent.Pieces == nullptr) {
     Peer.send(Text, Limit);
   } else {
@@ -818,6 +829,10 @@
   }
   if (Result.Status >= 200)
     Result.Complete = Peer.body(Result.Fields, Result.Body, Limit);
+  if (CaseRecord != nullptr)
+    CaseRecord->line("client gets status %d, %s, for Attempt-Id %s",
+                     Result.Status, Result.Complete ? "complete" : "cut",
+                     Sent.AttemptId.c_str());
   return Result;
 }
 
@@ -837,6 +852,7 @@
                 std::string(std::getenv("TROUBLE")) != "0"),
         Log(std::string(std::getenv("CASE_FOLDER")) + "/record.txt") {
     now();
+    CaseRecord = &this->Log;
     std::signal(SIGPIPE, SIG_IGN);
     this->Fleet.Folder = std::getenv("CASE_TEMP");
     this->Fleet.Root = std::getenv("REPOSITORY");
