Heads are parsed without decoding encoded words

Cause: normalizeHead checks the head, then POCO's MessageHeader::read parses the checked text and decodes encoded words. The line ends in them reach the target, and, in a response, the caller.

Change: parseRequest and parseResponse split the normalized head. All heads of callers, targets, peers, the store and operators go through them.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -14,17 +14,15 @@
       readHead(Connection, HeadKind::Response, Deadline, timeLeft(Deadline));
   if (!HeadLines)
     return tl::unexpected<ReadFault>(HeadLines.error());
-  const auto Head = parseResponse(*HeadLines);
-  if (!Head)
-    return tl::unexpected<ReadFault>(Head.error());
-  const auto Framing = responseFraming(framingFields(*Head),
-                                       Request.getMethod(), Head->getStatus());
+  const Poco::Net::HTTPResponse Head = parseResponse(*HeadLines);
+  const auto Framing = responseFraming(framingFields(Head), Request.getMethod(),
+                                       Head.getStatus());
   if (!Framing)
     return tl::unexpected<ReadFault>(Framing.error());
   auto ResponseBody = readWholeBody(Connection, *Framing, MaxBytes, Deadline);
   if (!ResponseBody)
     return tl::unexpected<ReadFault>(ResponseBody.error());
-  return HttpResponse{*Head, std::move(*ResponseBody)};
+  return HttpResponse{Head, std::move(*ResponseBody)};
 }
 
 Result<HttpResponse> sendOnNewConnection(const Address &Endpoint,
--- a/src/net/http_io.cpp
+++ b/src/net/http_io.cpp
@@ -2,8 +2,6 @@
 #include "net/boot_time.h"
 #include "siskinstage/config.h"
 
-#include <Poco/Exception.h>
-#include <Poco/MemoryStream.h>
 #include <Poco/String.h>
 #include <algorithm>
 #include <array>
@@ -39,17 +37,24 @@
   return Length;
 }
 
-template <typename Message>
-ReadResult<Message> parseHead(const std::string &Head, int Status) {
-  try {
-    Poco::MemoryInputStream Stream(Head.data(),
-                                   static_cast<std::streamsize>(Head.size()));
-    Message Result;
-    Result.read(Stream);
-    return Result;
-  } catch (const Poco::Exception &Fault) {
-    return tl::unexpected<ReadFault>(
-        HttpRefusal{Status, "the head is malformed: " + Fault.displayText()});
+/// Splits \p Text at its first \p Separator and returns the part before it;
+/// \p Text keeps the part after it.
+std::string_view takePart(std::string_view &Text, std::string_view Separator) {
+  const std::size_t End = std::min(Text.find(Separator), Text.size());
+  const std::string_view Part = Text.substr(0, End);
+  Text.remove_prefix(std::min(End + Separator.size(), Text.size()));
+  return Part;
+}
+
+/// Adds the field lines of a normalized head to \p Into. The library's own
+/// parser is not used, as it decodes encoded words (RFC 2047) in field values,
+/// and the decoded text may contain line ends.
+void addFields(std::string_view Lines, Poco::Net::HTTPMessage &Into) {
+  while (!Lines.empty()) {
+    std::string_view Value = takePart(Lines, "\r\n");
+    const std::string_view Name = takePart(Value, ": ");
+    if (!Name.empty())
+      Into.add(std::string(Name), std::string(Value));
   }
 }
 
@@ -95,12 +100,23 @@
   }
 }
 
-ReadResult<Poco::Net::HTTPRequest> parseRequest(const std::string &Head) {
-  return parseHead<Poco::Net::HTTPRequest>(Head, 400);
+Poco::Net::HTTPRequest parseRequest(std::string_view Head) {
+  std::string_view Line = takePart(Head, "\r\n");
+  const std::string Method(takePart(Line, " "));
+  const std::string Target(takePart(Line, " "));
+  Poco::Net::HTTPRequest Request(Method, Target, std::string(Line));
+  addFields(Head, Request);
+  return Request;
 }
 
-ReadResult<Poco::Net::HTTPResponse> parseResponse(const std::string &Head) {
-  return parseHead<Poco::Net::HTTPResponse>(Head, 502);
+Poco::Net::HTTPResponse parseResponse(std::string_view Head) {
+  std::string_view Line = takePart(Head, "\r\n");
+  Poco::Net::HTTPResponse Response;
+  Response.setVersion(std::string(takePart(Line, " ")));
+  Response.setStatus(std::string(takePart(Line, " ")));
+  Response.setReason(std::string(Line));
+  addFields(Head, Response);
+  return Response;
 }
 
 std::vector<std::string> headerValues(const Poco::Net::HTTPMessage &Message,
--- a/src/net/http_io.h
+++ b/src/net/http_io.h
@@ -10,6 +10,7 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace siskinstage {
@@ -31,10 +32,9 @@
                                  Instant FirstByte, Duration HeadTime,
                                  const TcpConnection *Watched = nullptr);
 
-/// Parses a head that readHead returned; a malformed one gives status 400 for a
-/// request and 502 for a response.
-ReadResult<Poco::Net::HTTPRequest> parseRequest(const std::string &Head);
-ReadResult<Poco::Net::HTTPResponse> parseResponse(const std::string &Head);
+/// Parses a head that readHead returned.
+Poco::Net::HTTPRequest parseRequest(std::string_view Head);
+Poco::Net::HTTPResponse parseResponse(std::string_view Head);
 
 /// Collects the header values that determine the framing of \p Message.
 FramingFields framingFields(const Poco::Net::HTTPMessage &Message);
--- a/src/node/callers/caller_port.cpp
+++ b/src/node/callers/caller_port.cpp
@@ -96,13 +96,9 @@
                                               const std::string &RawHead,
                                               ServeTurn &Turn) {
   const Instant Arrived = bootNow();
-  auto Head = parseRequest(RawHead);
-  if (!Head) {
-    rejectHead(this->Context, Caller, {400, readFaultText(Head.error())});
-    return Next::Close;
-  }
-  auto Request = readCallerRequest(*Head, this->Context.newRequestId(), Arrived,
-                                   this->Context.NodeSettings.HeaderDialect);
+  auto Request =
+      readCallerRequest(parseRequest(RawHead), this->Context.newRequestId(),
+                        Arrived, this->Context.NodeSettings.HeaderDialect);
   if (!Request) {
     rejectHead(this->Context, Caller, Request.error());
     return Next::Close;
--- a/src/node/callers/page_port.cpp
+++ b/src/node/callers/page_port.cpp
@@ -67,23 +67,18 @@
       return Next::Close;
     return Peer.buffered().empty() ? Next::Idle : Next::Incomplete;
   }
-  const auto Request = parseRequest(*Lines);
-  if (!Request)
-    return send(Peer,
-                {400, "text/plain", readFaultText(Request.error()) + "\n"},
-                false, false);
-  const std::string &Method = Request->getMethod();
+  const Poco::Net::HTTPRequest Request = parseRequest(*Lines);
+  const std::string &Method = Request.getMethod();
   if (Method != "GET" && Method != "HEAD")
     return send(Peer, {405, "text/plain", "pages are read with GET\n"}, false,
                 false);
   // A body is not read; on an open connection, it would be parsed as the next
   // request.
   const bool KeepOpen =
-      Request->getVersion() == HTTPRequest::HTTP_1_1 &&
-      Poco::icompare(Request->get("Connection", ""), "close") != 0 &&
-      !hasBody(*Request);
-  return send(Peer, this->render(Request->getURI()), KeepOpen,
-              Method == "HEAD");
+      Request.getVersion() == HTTPRequest::HTTP_1_1 &&
+      Poco::icompare(Request.get("Connection", ""), "close") != 0 &&
+      !hasBody(Request);
+  return send(Peer, this->render(Request.getURI()), KeepOpen, Method == "HEAD");
 }
 
 } // namespace siskinstage
--- a/src/node/targets/target_exchange.cpp
+++ b/src/node/targets/target_exchange.cpp
@@ -210,11 +210,7 @@
 }
 
 ExchangeResult<void> TargetExchange::parseHead(const std::string &Lines) {
-  auto Parsed = parseResponse(Lines);
-  if (!Parsed)
-    return tl::unexpected<ExchangeFailure>(
-        this->failure(Kind::InvalidResponse, Parsed.error()));
-  this->Head = *Parsed;
+  this->Head = parseResponse(Lines);
   const auto Decided =
       responseFraming(framingFields(this->Head), this->Params.Head.getMethod(),
                       this->Head.getStatus());
@@ -223,7 +219,6 @@
         this->failure(Kind::InvalidResponse, Decided.error()));
   this->Framing = *Decided;
   this->Reader.emplace(this->Framing);
-
   return {};
 }
 
--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -205,12 +205,14 @@
         return json.loads(body)["addresses"] if status == 200 else []
 
     def request(self, path, node=None, method="GET", body=None,
-                deadline_ms=5000, attempt=None, connection=None, key=None):
+                deadline_ms=5000, attempt=None, connection=None, key=None,
+                headers=None):
         """Sends a request to a node, on the given connection or a new one, with
-        an API key if one is given."""
+        an API key if one is given, and with further headers."""
         self.attempts += 1
         headers = {"Host": HOST, "Deadline-Remaining": str(deadline_ms),
-                   "Attempt-Id": attempt or f"a{self.attempts:08x}"}
+                   "Attempt-Id": attempt or f"a{self.attempts:08x}",
+                   **(headers or {})}
         if key is not None:
             headers[API_KEY] = key
         if connection:
--- a/tests/standin/target_server.cpp
+++ b/tests/standin/target_server.cpp
@@ -157,14 +157,12 @@
       readHead(Peer, HeadKind::Request, Deadline, std::chrono::seconds(10));
   if (!RawHead)
     return false;
-  auto Head = parseRequest(*RawHead);
-  if (!Head)
-    return false;
-  const auto Framing = requestFraming(framingFields(*Head));
+  const Poco::Net::HTTPRequest Head = parseRequest(*RawHead);
+  const auto Framing = requestFraming(framingFields(Head));
   if (!Framing)
     return false;
   WorkRequest Request;
-  Request.Head = *Head;
+  Request.Head = Head;
   Request.Generation = ConnectionGeneration;
   Request.WorkId =
       Request.Head.get("Idempotency-Key", Request.Head.get(WorkHeader, ""));
--- /dev/null
+++ b/tests/unit/http_io_test.cpp
@@ -0,0 +1,54 @@
+#include "net/http_io.h"
+
+#include <gtest/gtest.h>
+
+namespace siskinstage {
+namespace {
+
+constexpr const char *Word = "=?utf-8?Q?a=0D=0AX-Added:_1?=";
+
+std::string normalized(const std::string &Raw, HeadKind Kind) {
+  const auto Head = normalizeHead(Raw, Kind);
+  return Head ? *Head : "";
+}
+
+// The library's parser decodes encoded words, whose line ends add headers.
+TEST(HttpIo, KeepsEncodedWordsOfARequest) {
+  const std::string Head =
+      normalized("GET /a?b=1 HTTP/1.1\r\nX-Note: " + std::string(Word) +
+                     "\r\nX-Empty:\r\nX-A: 1: 2\r\n\r\n",
+                 HeadKind::Request);
+  const Poco::Net::HTTPRequest Request = parseRequest(Head);
+  EXPECT_EQ(Request.getMethod(), "GET");
+  EXPECT_EQ(Request.getURI(), "/a?b=1");
+  EXPECT_EQ(Request.getVersion(), "HTTP/1.1");
+  EXPECT_EQ(Request.get("X-Note"), Word);
+  EXPECT_EQ(Request.get("X-Empty"), "");
+  EXPECT_EQ(Request.get("X-A"), "1: 2");
+  EXPECT_EQ(Request.size(), 3U);
+  EXPECT_EQ(headText(Request), Head);
+}
+
+TEST(HttpIo, KeepsEncodedWordsOfAResponse) {
+  const std::string Head = normalized(
+      "HTTP/1.0 200 All right\r\nX-Note: " + std::string(Word) + "\r\n\r\n",
+      HeadKind::Response);
+  const Poco::Net::HTTPResponse Response = parseResponse(Head);
+  EXPECT_EQ(Response.getVersion(), "HTTP/1.0");
+  EXPECT_EQ(Response.getStatus(), 200);
+  EXPECT_EQ(Response.getReason(), "All right");
+  EXPECT_EQ(Response.get("X-Note"), Word);
+  EXPECT_EQ(Response.size(), 1U);
+  EXPECT_EQ(headText(Response), Head);
+}
+
+TEST(HttpIo, ReadsAResponseWithoutAReason) {
+  const Poco::Net::HTTPResponse Response = parseResponse(
+      normalized("HTTP/1.1 204\r\nA: b\r\n\r\n", HeadKind::Response));
+  EXPECT_EQ(Response.getStatus(), 204);
+  EXPECT_EQ(Response.getReason(), "");
+  EXPECT_EQ(Response.get("A"), "b");
+}
+
+} // namespace
+} // namespace siskinstage
