Responses with a status that HTTP does not have are invalid

Callers saw: 504 after the whole timeout of the route where a target responds with status 000 or 101, without a second attempt for repeatable requests; the status itself where it is 600 or 999.

Cause: the status line was checked for three digits, not for their range, and all statuses below 200 were skipped as interim responses.

Change: normalizeHead rejects status codes outside 100 to 599, and an exchange rejects 101. The attempt fails as an invalid response and is retried where that is allowed.

--- a/src/core/callers/http_guard.cpp
+++ b/src/core/callers/http_guard.cpp
@@ -88,6 +88,8 @@
   });
   if (!AllDigits || (Line.size() > CodeEnd && Line[CodeEnd] != ' '))
     return refuse(502, "the status code is not three digits");
+  if (Code.front() < '1' || Code.front() > '5')
+    return refuse(502, "the status code is not from 100 to 599");
   return std::string(Line);
 }
 
--- a/src/node/targets/target_exchange.cpp
+++ b/src/node/targets/target_exchange.cpp
@@ -159,8 +159,10 @@
       Failed.StaleReuse = this->isStale(Failed);
       return tl::unexpected<ExchangeFailure>(Failed);
     }
-    auto Parsed = this->parseHead(*Lines);
-    if (Parsed && this->isForOtherRequest() && this->Pooled.Reused) {
+    const auto Parsed = this->parseHead(*Lines);
+    if (!Parsed)
+      return Parsed;
+    if (this->isForOtherRequest() && this->Pooled.Reused) {
       // A late response to an earlier request on this connection; the response
       // to this request follows it.
       const auto Skipped = this->skipOtherResponse(Limit);
@@ -168,19 +170,21 @@
         return Skipped;
       continue;
     }
-    if (Parsed && this->Head.getStatus() >= 200) {
-      const std::string Fault = this->findHeadFault();
-      if (!Fault.empty())
-        return tl::unexpected<ExchangeFailure>(
-            this->failure(Kind::InvalidResponse, HttpRefusal{502, Fault}));
-      this->readTargetHeaders();
-    }
-    // Interim responses, such as "103 Early Hints", precede the final one.
-    if (!Parsed || this->Head.getStatus() >= 200)
-      return Parsed;
+    const std::string Fault = this->findHeadFault();
+    if (!Fault.empty())
+      return tl::unexpected<ExchangeFailure>(
+          this->failure(Kind::InvalidResponse, HttpRefusal{502, Fault}));
+    if (this->isInterim())
+      continue;
+    this->readTargetHeaders();
+    return {};
   }
 }
 
+bool TargetExchange::isInterim() const {
+  return this->Head.getStatus() < Poco::Net::HTTPResponse::HTTP_OK;
+}
+
 bool TargetExchange::isStale(const ExchangeFailure &Failed) const {
   return this->Pooled.Reused && !Failed.CallerGone && !Failed.TimedOut &&
          Failed.Attempt.Cause == Kind::NoResponse;
@@ -245,6 +249,10 @@
 std::string TargetExchange::findHeadFault() const {
   const Dialect &Headers = *this->Params.HeaderDialect;
   const int Status = this->Head.getStatus();
+  if (Status == Poco::Net::HTTPResponse::HTTP_SWITCHING_PROTOCOLS)
+    return "the answer switches protocols, which nobody asked for";
+  if (this->isInterim())
+    return "";
   const bool Success = Status >= 200 && Status < 300;
   const bool MarkedNotRun =
       !Headers.NotRunHeader.empty() && this->Head.has(Headers.NotRunHeader);
--- a/src/node/targets/target_exchange.h
+++ b/src/node/targets/target_exchange.h
@@ -117,6 +117,8 @@
   [[nodiscard]] bool isForOtherRequest() const;
   /// Reads and discards the rest of a response to an earlier request.
   ExchangeResult<void> skipOtherResponse(Instant Limit);
+  /// Whether the response, such as "103 Early Hints", precedes the final one.
+  [[nodiscard]] bool isInterim() const;
   /// Why the response must not be used, or an empty string.
   [[nodiscard]] std::string findHeadFault() const;
   void readTargetHeaders();
--- a/tests/integration/test_faulty_targets.py
+++ b/tests/integration/test_faulty_targets.py
@@ -4,10 +4,12 @@
 import time
 import unittest
 
-from platform_fleet import PlatformFleet, route
+from platform_fleet import PlatformFleet
 from raw_server import RawServer
 
-TIMEOUT_S = 10
+ROUTE_TIMEOUT_S = 1.5  # of the route to the reads
+INVALID_STATUSES = (b"000 OK", b"099 OK", b"101 Switching Protocols",
+                    b"600 OK", b"999 OK")
 
 
 class FaultyTargets(unittest.TestCase):
@@ -124,24 +126,68 @@
                 if status == 503:
                     self.assertEqual(self.runs(attempt), 0)
 
-    def test_a_repeatable_request_survives_a_response_cut_in_its_head(self):
+    def fail_at_one_target(self, respond):
+        """One of the two targets of the reads responds by respond(peer, raw,
+        attempt), which returns whether the connection stays open."""
         def script_of(raw, faulty):
             def script(peer, attempt, _):
                 raw.runs.append(attempt)
                 if faulty:
-                    peer.sendall(b"HTTP/1.1 200 OK\r\nAttempt-Id: ")
-                    return False
+                    return respond(peer, raw, attempt)
                 peer.sendall(raw.response(attempt))
                 return True
             return script
         for number, raw in enumerate(self.replace("reads")):
             raw.script = script_of(raw, number == 0)
-        self.fleet.configure({"r1": route("/reads/", "reads")})
-        for attempt, (status, _, body) in self.send("/reads/1", 10,
+
+    def expect_served_by_the_other(self, count):
+        for attempt, (status, _, body) in self.send("/reads/1", count,
                                                     "GET").items():
             self.assertEqual(status, 200, attempt)
             self.assertEqual(body, f"from {self.raw[1].id}")
 
+    def test_a_repeatable_request_survives_a_response_cut_in_its_head(self):
+        def respond(peer, *_):
+            peer.sendall(b"HTTP/1.1 200 OK\r\nAttempt-Id: ")
+            return False
+        self.fail_at_one_target(respond)
+        self.expect_served_by_the_other(10)
+
+    def expect_no_response(self, status):
+        """One target responds with the status; the other one serves at once."""
+        def respond(peer, raw, attempt):
+            peer.sendall(raw.response(attempt).replace(b"200 OK", status, 1))
+            return True
+        self.fail_at_one_target(respond)
+        started = time.monotonic()
+        self.expect_served_by_the_other(4)
+        self.assertLess(time.monotonic() - started, ROUTE_TIMEOUT_S)
+        self.assertTrue(self.raw[0].runs)
+
+    def test_a_status_below_100_is_no_interim_response(self):
+        self.expect_no_response(b"000 OK")
+
+    def test_a_status_above_599_is_no_response(self):
+        self.expect_no_response(b"600 OK")
+
+    def test_a_switch_of_protocols_is_no_response(self):
+        self.expect_no_response(b"101 Switching Protocols")
+
+    def test_an_invalid_status_is_no_response_to_what_runs_once(self):
+        for raw in self.replace("orders"):
+            def script(peer, attempt, _, raw=raw):
+                raw.runs.append(attempt)
+                peer.sendall(raw.response(attempt).replace(
+                    b"200 OK", INVALID_STATUSES[len(raw.runs) %
+                                                len(INVALID_STATUSES)], 1))
+                return True
+            raw.script = script
+        results = self.send("/orders/1", 2 * len(INVALID_STATUSES), "POST")
+        self.expect_truthful(results)
+        for status, headers, _ in results.values():
+            self.assertEqual(status, 502)
+            self.assertNotIn("Server-Seal", headers)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/http_guard_test.cpp
+++ b/tests/unit/http_guard_test.cpp
@@ -31,6 +31,17 @@
   EXPECT_EQ(statusOf("G=T / HTTP/1.1\r\n\r\n"), 400);
 }
 
+TEST(HttpGuard, RefusesStatusCodesThatHttpDoesNotHave) {
+  const auto IsAccepted = [](const std::string &Code) {
+    return normalizeHead("HTTP/1.1 " + Code + " a\r\n\r\n", HeadKind::Response)
+        .has_value();
+  };
+  for (const char *Invalid : {"000", "001", "099", "600", "999", "20", "2000"})
+    EXPECT_FALSE(IsAccepted(Invalid)) << Invalid;
+  for (const char *Valid : {"100", "200", "404", "599"})
+    EXPECT_TRUE(IsAccepted(Valid)) << Valid;
+}
+
 TEST(HttpGuard, RefusesOversizedHeads) {
   std::string Many = "GET / HTTP/1.1\r\n";
   for (int I = 0; I < 101; ++I)
