Test: a response cut while an upload is written

Other operators saw a 200 without a length, cut by a reset while an upload was being written, that reached the client as complete. It covers a body without a length, with chunks and with a length; each gets 502 without a seal, and the upload runs at most once.

--- a/tests/integration/test_faulty_targets.py
+++ b/tests/integration/test_faulty_targets.py
@@ -1,6 +1,8 @@
 """Tests targets that send wrong bytes on their connections: a node must neither
 take them for the response to another request nor for a complete response."""
 
+import socket
+import struct
 import time
 import unittest
 
@@ -8,6 +10,7 @@
 from raw_server import RawServer
 
 ROUTE_TIMEOUT_S = 1.5  # of the route to the reads
+UPLOAD_BYTES = 300_000
 INVALID_STATUSES = (b"000 OK", b"099 OK", b"101 Switching Protocols",
                     b"600 OK", b"999 OK")
 
@@ -188,6 +191,37 @@
             self.assertEqual(status, 502)
             self.assertNotIn("Server-Seal", headers)
 
+    def test_a_response_cut_while_an_upload_is_written_is_no_success(self):
+        """The server responds at once, sends a part of the body and resets the
+        connection while the upload is still being written."""
+        framings = (b"", b"Transfer-Encoding: chunked\r\n",
+                    b"Content-Length: 1000000\r\n")
+
+        def script_of(raw):
+            def script(peer, attempt, _):
+                framing = framings[len(raw.runs) % len(framings)]
+                raw.runs.append(attempt)
+                part = b"x" * 1000
+                peer.sendall(
+                    raw.response(attempt).split(b"Content-Length")[0] +
+                    framing + b"\r\n" +
+                    (b"3e8\r\n" + part if b"chunked" in framing else part))
+                peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                struct.pack("ii", 1, 0))
+                return False
+            return script
+        for raw in self.replace("orders"):
+            raw.script = script_of(raw)
+            raw.reads_bodies = False
+        for number in range(9):
+            attempt = f"upload{number:02d}"
+            status, headers, _ = self.fleet.request(
+                "/orders/1", method="POST", body=b"u" * UPLOAD_BYTES,
+                attempt=attempt, deadline_ms=3000)
+            self.assertEqual(status, 502)
+            self.assertNotIn("Server-Seal", headers)
+            self.assertLessEqual(self.runs(attempt), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/raw_server.py
+++ b/tests/platform/raw_server.py
@@ -9,12 +9,15 @@
 
     received: the bytes of each request, and what came with it
     runs: ids of the attempts that the script has run
+    reads_bodies: whether the script runs after the body of a request, not after
+        its head
     """
 
     def __init__(self, server):
         self.id = server.id
         self.received = []
         self.runs = []
+        self.reads_bodies = True
         self.script = None
         server.stop()
         self.listener = socket.create_server(server.address)
@@ -57,7 +60,8 @@
             head, body = text.split(b"\r\n\r\n", 1)
             fields = dict(line.lower().split(": ", 1) for line in
                           head.decode().split("\r\n")[1:])
-            while len(body) < int(fields.get("content-length", 0)):
+            length = int(fields.get("content-length", 0))
+            while self.reads_bodies and len(body) < length:
                 body += peer.recv(65536)
         except OSError:
             return None
