A late response without an end is skipped up to a limit

The node's thread spins until the target stops.

Cause: skipOtherResponse reads the other response to its end. A read checks its deadline only while it waits, and a sender that is as fast as the reader keeps it from that.

Change: at most 1 MiB of such a response is skipped, then the response is invalid; and the clock is checked after each read.

--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -71,6 +71,9 @@
 /// Response heads that may precede the final one on a connection: interim (1xx)
 /// responses, and responses left over from earlier requests.
 inline constexpr int MaxInterimResponses = 16;
+/// Body of a late response to an earlier request that is read to get to the
+/// next response.
+inline constexpr std::size_t MaxSkippedBodyBytes = 1024 * 1024;
 /// Age at which a request is overdue while the usual latency of its service is
 /// not known and its route has no objective.
 inline constexpr std::chrono::milliseconds DefaultOverdueAge = 500ms;
--- a/src/node/targets/target_exchange.cpp
+++ b/src/node/targets/target_exchange.cpp
@@ -234,6 +234,7 @@
 }
 
 ExchangeResult<void> TargetExchange::skipOtherResponse(Instant Limit) {
+  std::size_t Skipped = 0;
   std::string Discarded;
   while (!this->Reader->done()) {
     Discarded.clear();
@@ -242,6 +243,16 @@
     if (!Read)
       return tl::unexpected<ExchangeFailure>(
           this->failure(Kind::NoResponse, Read.error()));
+    Skipped += Discarded.size();
+    if (Skipped > config::MaxSkippedBodyBytes)
+      return tl::unexpected<ExchangeFailure>(this->failure(
+          Kind::InvalidResponse,
+          HttpRefusal{502, "a late answer to another request has no end"}));
+    // A read of bytes that are there already does not check its deadline.
+    if (bootNow() >= Limit)
+      return tl::unexpected<ExchangeFailure>(this->failure(
+          Kind::NoResponse, ConnectionFault{ConnectionFault::Kind::Timeout,
+                                            "the deadline passed"}));
   }
   return {};
 }
--- a/tests/integration/test_faulty_targets.py
+++ b/tests/integration/test_faulty_targets.py
@@ -6,10 +6,13 @@
 import time
 import unittest
 
+from fleet import wait_for
 from platform_fleet import PlatformFleet
 from raw_server import RawServer
 
 ROUTE_TIMEOUT_S = 1.5  # of the route to the reads
+ORDERS_TIMEOUT_S = 2
+SLACK_S = 0.5
 UPLOAD_BYTES = 300_000
 INVALID_STATUSES = (b"000 OK", b"099 OK", b"101 Switching Protocols",
                     b"600 OK", b"999 OK")
@@ -191,6 +194,52 @@
             self.assertEqual(status, 502)
             self.assertNotIn("Server-Seal", headers)
 
+    def test_a_late_response_without_an_end_delays_no_request(self):
+        """On a connection in use again, a server sends a second response to the
+        request before, in chunks without an end, until the node closes."""
+        chunk = b"1\r\nx\r\n" * 10_000
+        open_responses = set()
+        total = []
+
+        def script_of(raw):
+            def script(peer, attempt, previous):
+                raw.runs.append(attempt)
+                if previous is None:
+                    peer.sendall(raw.response(attempt))
+                    return True
+                total.append(attempt)
+                open_responses.add(attempt)
+                head = raw.response(previous).split(b"Content-Length")[0]
+                try:
+                    peer.sendall(head + b"Transfer-Encoding: chunked\r\n\r\n")
+                    while not self.stopped:
+                        peer.sendall(chunk)
+                except OSError:
+                    pass  # The node has closed the connection.
+                open_responses.discard(attempt)
+                return False
+            return script
+        self.stopped = False
+        self.addCleanup(lambda: setattr(self, "stopped", True))
+        for raw in self.replace("orders"):
+            raw.script = script_of(raw)
+        for number in range(20):
+            attempt = f"late{number:04d}"
+            started = time.monotonic()
+            try:
+                status, _, _ = self.fleet.request(
+                    "/orders/1", method="POST", body=b"lot", attempt=attempt,
+                    deadline_ms=3000)
+            except OSError:
+                status = None  # No response within the time of the client.
+            self.assertIn(status, (200, 502, 503, 504))
+            self.assertLess(time.monotonic() - started,
+                            ORDERS_TIMEOUT_S + SLACK_S)
+            self.assertLessEqual(self.runs(attempt), 1)
+        self.assertGreater(len(total), 3)
+        wait_for(lambda: not open_responses, ORDERS_TIMEOUT_S + SLACK_S,
+                 "all endless responses to be closed")
+
     def test_a_response_cut_while_an_upload_is_written_is_no_success(self):
         """The server responds at once, sends a part of the body and resets the
         connection while the upload is still being written."""
