Readers of bodies end at their deadline, however fast the sender

A response of the store, a peer or a probe in one-byte chunks holds its reader for 3.4 to 3.9 s where the deadline is 0.2 s.

Cause: a read checks its deadline only while it waits for bytes, which a sender that is faster than the reader keeps it from. The loops around it had a limit of bytes alone.

Change: BodyReader and readWholeBody check the clock between reads.

--- a/src/net/http_io.cpp
+++ b/src/net/http_io.cpp
@@ -30,6 +30,14 @@
          Poco::icompare(Name, 0, 11, "Siskinstage") == 0;
 }
 
+/// For loops that read: a read waits, and so checks its deadline, only if the
+/// peer has not sent anything yet.
+bool isPast(Instant Deadline) { return bootNow() >= Deadline; }
+
+ConnectionFault deadlinePassed() {
+  return {ConnectionFault::Kind::Timeout, "the deadline passed"};
+}
+
 std::size_t leadingEmptyLines(std::string_view Bytes) {
   std::size_t Length = 0;
   while (Bytes.substr(Length, 2) == "\r\n")
@@ -184,11 +192,15 @@
                                   Instant Deadline,
                                   const TcpConnection *Watched) {
   const std::size_t Before = Into.size();
+  bool Filled = false;
   while (!this->Done && Into.size() == Before) {
     if (From.buffered().empty()) {
-      const auto Filled = From.fill(Deadline, Watched);
-      if (!Filled)
-        return tl::unexpected<ReadFault>(Filled.error());
+      if (Filled && isPast(Deadline))
+        return tl::unexpected<ReadFault>(deadlinePassed());
+      Filled = true;
+      const auto Received = From.fill(Deadline, Watched);
+      if (!Received)
+        return tl::unexpected<ReadFault>(Received.error());
     }
     const bool Chunked = std::holds_alternative<ChunkedBody>(this->Framing);
     const auto Read =
@@ -212,6 +224,8 @@
       return tl::unexpected<ReadFault>(
           HttpRefusal{413, "the body is longer than " +
                                std::to_string(MaxBytes) + " bytes"});
+    if (!Reader.done() && isPast(Deadline))
+      return tl::unexpected<ReadFault>(deadlinePassed());
   }
   return Body;
 }
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -38,7 +38,8 @@
         self.events = []
         self.revision = 1
         self.compacted = 0  # revision up to which events are removed
-        self.mode = "up"    # up, silent, refuse or drop
+        self.mode = "up"    # up, silent, refuse, drop or endless
+        self.endless_calls = 0
         self.rejected_addresses = set()  # nodes that get status 429
         self.old_revision = None  # reads return this state, if it is set
         self.calls = 0
@@ -98,6 +99,8 @@
             call.close_connection = True
             if self.mode == "refuse":
                 self.send(call, 503, {})
+            elif self.mode == "endless":
+                self.send_endless(call)
             return
         if call.client_address[0] in self.rejected_addresses:
             self.send(call, 429, {})
@@ -149,6 +152,23 @@
         else:
             call.close_connection = True
 
+    def send_endless(self, call):
+        """Sends bytes that are no response until the caller closes: in turn in
+        the head, in a chunked body and in one with a length."""
+        starts = (b"HTTP/1.1 200 OK\r\nA: ",
+                  b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                  b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n")
+        kind = self.endless_calls % len(starts)
+        self.endless_calls += 1
+        block = b"x" * 65536
+        try:
+            call.wfile.write(starts[kind])
+            while self.mode == "endless":
+                call.wfile.write(b"10000\r\n" + block + b"\r\n"
+                                 if kind == 1 else block)
+        except OSError:
+            pass  # The caller has closed the connection.
+
     @staticmethod
     def send(call, status, body):
         text = json.dumps(body).encode()
--- a/tests/unit/http_io_test.cpp
+++ b/tests/unit/http_io_test.cpp
@@ -1,6 +1,10 @@
 #include "net/http_io.h"
+#include "unit/connection_pair.h"
 
+#include <chrono>
 #include <gtest/gtest.h>
+#include <string>
+#include <thread>
 
 namespace siskinstage {
 namespace {
@@ -50,5 +54,51 @@
   EXPECT_EQ(Response.get("A"), "b");
 }
 
+/// A peer that sends the same bytes until its connection is closed, always
+/// faster than they are read, or for MaxTime.
+class EndlessSender {
+public:
+  explicit EndlessSender(const std::string &Repeated) {
+    std::string Block;
+    while (Block.size() < BlockBytes)
+      Block += Repeated;
+    this->Sender = std::thread([this, Block = std::move(Block)] {
+      const Instant End = bootNow() + MaxTime;
+      while (bootNow() < End && this->Pair.Far.write(Block, End))
+        ;
+    });
+  }
+  EndlessSender(const EndlessSender &) = delete;
+  EndlessSender &operator=(const EndlessSender &) = delete;
+  ~EndlessSender() {
+    this->Pair.Near.abort();
+    this->Sender.join();
+  }
+  TcpConnection &receiver() { return this->Pair.Near; }
+
+  static constexpr std::chrono::seconds MaxTime{10};
+
+private:
+  static constexpr std::size_t BlockBytes = 64 * 1024;
+  ConnectionPair Pair;
+  std::thread Sender;
+};
+
+constexpr std::chrono::milliseconds ReadTime{200};
+constexpr std::chrono::milliseconds Slack{800};
+
+// A sender that is as fast as the reader never lets a read wait, and waiting
+// was the only time at which the deadline was checked.
+TEST(HttpIo, ABodyOfTinyChunksEndsAtItsDeadline) {
+  EndlessSender Sender("1\r\nx\r\n");
+  const Instant Start = bootNow();
+  const auto Body = readWholeBody(Sender.receiver(), ChunkedBody{},
+                                  64U * 1024 * 1024, Start + ReadTime);
+  ASSERT_FALSE(Body);
+  EXPECT_TRUE(std::holds_alternative<ConnectionFault>(Body.error()))
+      << readFaultText(Body.error());
+  EXPECT_LT(bootNow() - Start, ReadTime + Slack);
+}
+
 } // namespace
 } // namespace siskinstage
--- a/tests/unit/tcp_connection_test.cpp
+++ b/tests/unit/tcp_connection_test.cpp
@@ -1,8 +1,5 @@
-#include "net/boot_time.h"
-#include "net/tcp_connection.h"
+#include "unit/connection_pair.h"
 
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/SocketAddress.h>
 #include <atomic>
 #include <chrono>
 #include <csignal>
@@ -13,19 +10,6 @@
 namespace siskinstage {
 namespace {
 
-/// Both ends of a loopback connection.
-struct ConnectionPair {
-  ConnectionPair()
-      : Listener(Poco::Net::SocketAddress("127.0.0.1:0")),
-        Near(*TcpConnection::connect(
-            Address(this->Listener.address().toString()),
-            bootNow() + std::chrono::seconds(5))),
-        Far(this->Listener.acceptConnection()) {}
-  Poco::Net::ServerSocket Listener;
-  TcpConnection Near;
-  TcpConnection Far;
-};
-
 // Guards against a write that fails because the send buffer is full: uploads
 // ended as if the peer had closed the connection.
 TEST(TcpConnection, WaitsWhileTheSendBufferIsFull) {
