Empty lines before a request are limited to the length of a head

Callers saw nothing yet; found while trying the reports about bytes without end. A caller that sends line ends without pause keeps a thread of the node reading.

Cause: empty lines before a request are skipped before the limit of a head counts, and the deadline is checked only while a read waits.

After: HttpIo.EmptyLinesBeforeARequestAreLimited passes, three times; it failed before in three of three runs.

--- a/src/net/http_io.cpp
+++ b/src/net/http_io.cpp
@@ -83,9 +83,16 @@
                                  const TcpConnection *Watched) {
   Instant Deadline = FirstByte;
   bool Started = false;
+  std::size_t Skipped = 0; ///< Bytes of empty lines before a request.
   while (true) {
-    if (Kind == HeadKind::Request)
-      From.consume(leadingEmptyLines(From.buffered()));
+    if (Kind == HeadKind::Request) {
+      const std::size_t EmptyLines = leadingEmptyLines(From.buffered());
+      From.consume(EmptyLines);
+      Skipped += EmptyLines;
+      if (Skipped > config::MaxHeaderBytes)
+        return tl::unexpected<ReadFault>(
+            HttpRefusal{400, "empty lines in place of a request"});
+    }
     const std::size_t Length = headLength(From.buffered());
     if (Length > config::MaxHeaderBytes ||
         (Length == 0 && From.buffered().size() > config::MaxHeaderBytes))
--- a/tests/unit/http_io_test.cpp
+++ b/tests/unit/http_io_test.cpp
@@ -100,5 +100,17 @@
   EXPECT_LT(bootNow() - Start, ReadTime + Slack);
 }
 
+TEST(HttpIo, EmptyLinesBeforeARequestAreLimited) {
+  EndlessSender Sender("\r\n");
+  const Instant Start = bootNow();
+  const auto Head = readHead(Sender.receiver(), HeadKind::Request,
+                             Start + ReadTime, ReadTime);
+  ASSERT_FALSE(Head);
+  const auto *Refused = std::get_if<HttpRefusal>(&Head.error());
+  ASSERT_NE(Refused, nullptr);
+  EXPECT_EQ(Refused->Status, 400);
+  EXPECT_LT(bootNow() - Start, ReadTime + Slack);
+}
+
 } // namespace
 } // namespace siskinstage
