A connection is reused only after the whole request was written

Cause: a failed write of the last part counts as an early response. The response is used, and the connection was reused as the body had been read from the caller to its end.

Change: the exchange notes that the request is written to its end, and closes its connection otherwise.

--- a/src/node/targets/target_exchange.cpp
+++ b/src/node/targets/target_exchange.cpp
@@ -131,13 +131,14 @@
     if (!Written)
       return {}; // The target may have sent a response with the cause.
   }
-  if (!Chunked)
-    return {};
-  const auto LastChunk =
-      Connection.write("0\r\n\r\n", this->Params.Deadline, this->Sent);
-  if (!LastChunk)
-    return tl::unexpected<ExchangeFailure>(
-        this->failure(Kind::SendFailed, LastChunk.error()));
+  if (Chunked) {
+    const auto LastChunk =
+        Connection.write("0\r\n\r\n", this->Params.Deadline, this->Sent);
+    if (!LastChunk)
+      return tl::unexpected<ExchangeFailure>(
+          this->failure(Kind::SendFailed, LastChunk.error()));
+  }
+  this->RequestWritten = true;
   return {};
 }
 
@@ -373,7 +374,8 @@
   if (this->Finished)
     return;
   this->Finished = true;
-  if (this->Reusable && this->complete() && !this->isRequestBodyUnread() &&
+  // The target would read the next request as the rest of this one.
+  if (this->Reusable && this->complete() && this->RequestWritten &&
       this->Pooled.Connection.buffered().empty())
     Pool.put(std::move(this->Pooled));
   else
--- a/src/node/targets/target_exchange.h
+++ b/src/node/targets/target_exchange.h
@@ -93,7 +93,8 @@
 private:
   PooledConnection Pooled;
   ExchangeParams Params;
-  std::size_t Sent = 0; ///< Bytes of the request.
+  std::size_t Sent = 0;        ///< Bytes of the request.
+  bool RequestWritten = false; ///< To its end.
   Poco::Net::HTTPResponse Head;
   BodyFraming Framing;
   std::optional<BodyReader> Reader;
