A pause in a streamed response does not cut it before its deadline

Cause: nextPart ended a streamed response after 5 s without a byte, whatever its deadline.

Change: the deadline is the only limit where there is one, and the caller is watched while the node waits.

After: both pass; test_faulty_targets, test_endless_answers and test_callers_port pass.

--- a/src/node/targets/target_exchange.cpp
+++ b/src/node/targets/target_exchange.cpp
@@ -349,9 +349,8 @@
         this->failure(Kind::IncompleteResponse,
                       ConnectionFault{ConnectionFault::Kind::Timeout,
                                       "the answer goes on past its time"}));
-  const auto Read =
-      this->Reader->read(this->Pooled.Connection, Part,
-                         std::min(Deadline, Now + config::BodyStallTimeout));
+  const auto Read = this->Reader->read(this->Pooled.Connection, Part, Deadline,
+                                       this->Params.Caller);
   if (!Read)
     return tl::unexpected<ExchangeFailure>(
         this->failure(Kind::IncompleteResponse, Read.error()));
--- a/src/node/targets/target_exchange.h
+++ b/src/node/targets/target_exchange.h
@@ -33,8 +33,9 @@
   Duration OverdueAfter{};
   /// \returns whether to abandon the attempt.
   std::function<bool()> OnOverdue;
-  /// When a streamed response is cut off even if it makes progress; none if
-  /// neither the caller nor the route set a time limit.
+  /// When a streamed response is cut off; none if neither the caller nor the
+  /// route set a time limit. Without one, config::BodyStallTimeout limits the
+  /// time without progress.
   std::optional<Instant> StreamDeadline;
 };
 
--- a/tests/integration/test_faulty_targets.py
+++ b/tests/integration/test_faulty_targets.py
@@ -7,13 +7,15 @@
 import unittest
 
 from fleet import wait_for
-from platform_fleet import PlatformFleet
+from platform_fleet import FRONT, HOST, PlatformFleet, route
 from raw_server import RawServer
 
 ROUTE_TIMEOUT_S = 1.5  # of the route to the reads
 ORDERS_TIMEOUT_S = 2
 SLACK_S = 0.5
 UPLOAD_BYTES = 300_000
+STREAMED_BYTES = 300_000
+TIMEOUT_S = 10
 INVALID_STATUSES = (b"000 OK", b"099 OK", b"101 Switching Protocols",
                     b"600 OK", b"999 OK")
 
@@ -194,6 +196,54 @@
             self.assertEqual(status, 502)
             self.assertNotIn("Server-Seal", headers)
 
+    def stream_with_pause(self, pause_s):
+        """Lets the targets of a route with a long timeout send a response that
+        is too long to be buffered, with a pause before its end."""
+        self.fleet.configure({"r1": route("/slow/", "orders", "unsafe", 8)})
+        for node in self.fleet.nodes:
+            wait_for(lambda n=node: self.fleet.request("/slow/1", n)[0] == 200,
+                     TIMEOUT_S, f"the route at {node}")
+        self.paused = []
+        self.closed = []
+
+        def script_of(raw):
+            def script(peer, attempt, _):
+                head = raw.response(attempt).split(b"Content-Length")[0]
+                peer.sendall(head + b"Content-Length: %d\r\n\r\n" %
+                             (2 * STREAMED_BYTES) + b"x" * STREAMED_BYTES)
+                self.paused.append(attempt)
+                peer.settimeout(pause_s)
+                try:
+                    if not peer.recv(1):
+                        self.closed.append(time.monotonic())
+                    return False
+                except TimeoutError:
+                    peer.sendall(b"x" * STREAMED_BYTES)
+                return True
+            return script
+        for raw in self.replace("orders"):
+            raw.script = script_of(raw)
+
+    def test_a_pause_in_a_long_response_does_not_cut_it(self):
+        """A response was cut after 5 s without a byte, whatever its deadline."""
+        self.stream_with_pause(5.4)
+        status, _, body = self.fleet.request("/slow/1", method="POST",
+                                             body=b"lot", deadline_ms=8000)
+        self.assertEqual((status, len(body)), (200, 2 * STREAMED_BYTES))
+        self.assertEqual(len(self.paused), 1)
+
+    def test_a_caller_that_leaves_in_a_pause_ends_the_work(self):
+        self.stream_with_pause(5)
+        with socket.create_connection((self.fleet.nodes[0], FRONT)) as caller:
+            caller.sendall(f"POST /slow/1 HTTP/1.1\r\nHost: {HOST}\r\n"
+                           "Deadline-Remaining: 8000\r\nAttempt-Id: left0001\r\n"
+                           "Content-Length: 0\r\n\r\n".encode())
+            wait_for(lambda: self.paused, TIMEOUT_S, "the pause")
+            time.sleep(0.2)
+        left = time.monotonic()
+        wait_for(lambda: self.closed, TIMEOUT_S, "the end of the work")
+        self.assertLess(self.closed[0] - left, SLACK_S)
+
     def test_a_late_response_without_an_end_delays_no_request(self):
         """On a connection in use again, a server sends a second response to the
         request before, in chunks without an end, until the node closes."""
