The fingerprint of a long body does not depend on how it arrives

Cause: the fingerprint covered the bytes read when the replay buffer was full, and the last read brings more or less beyond it.

Change: the fingerprint covers the first 256 KiB of a body.

--- a/src/node/requests/dispatch_records.cpp
+++ b/src/node/requests/dispatch_records.cpp
@@ -178,9 +178,13 @@
 
 RequestFingerprint Dispatcher::hashRequest() const {
   const CallerRequest &Request = *this->Params.Request;
+  // How much of a longer body has been read depends on the pieces in which it
+  // arrives.
+  const std::string &Read = this->Params.Body->replayBuffer();
+  const std::size_t Hashed = std::min(Read.size(), config::ReplayBufferBytes);
   const std::string Text = Request.Head.getMethod() + "\n" + Request.Host +
                            "\n" + Request.Head.getURI() + "\n" +
-                           std::to_string(this->Params.Body->hash());
+                           std::to_string(XXH3_64bits(Read.data(), Hashed));
   return {XXH3_64bits(Text.data(), Text.size())};
 }
 
