A draining node does not abandon an attempt that is overdue

Callers saw (LOST): after the SIGTERM of their node, repeatable requests at which a target was at work got 502, long before their timeout.

Cause: the attempt is abandoned as overdue, and the retry is rejected, as slots are short.

Change: while the node drains, the attempt goes on until its deadline.

After: the test passes.

--- a/src/node/requests/dispatcher.cpp
+++ b/src/node/requests/dispatcher.cpp
@@ -195,6 +195,10 @@
 bool Dispatcher::abandonOverdue(const TargetView &Target, Instant Started) {
   if (!std::exchange(this->WasOverdue, true))
     this->observe(Target, Evidence::Overdue, bootNow() - Started);
+  // The retry may be rejected. A planned stop must not replace the work of a
+  // target by a refusal.
+  if (this->Context.Drain.active())
+    return false;
   const ServiceView &Service = *this->Params.Service;
   const bool CanRetry = this->Params.Kind == Repeatability::Repeatable &&
                         this->Params.Body->replayable() &&
--- a/tests/integration/test_planned_stop.py
+++ b/tests/integration/test_planned_stop.py
@@ -8,11 +8,14 @@
 import time
 import unittest
 
+from fleet import wait_for
 from platform_fleet import BOUNDS, FRONT, HOST, PlatformFleet, route
 
 SHUTDOWN_LIMIT_MS = 5600
 EXCUSED_S = 3  # after the signal
 DEADLINE_MS = 6000
+#: Overdue, but inside the route's timeout of 1.5 s.
+OVERDUE_WORK_S = 1.2
 LARGE = b"p" * 300_000  # more than a node buffers
 
 
@@ -104,6 +107,35 @@
             fleet.processes[node].wait()
             return [result for caller in running for result in caller.results]
 
+    def test_a_request_that_is_overdue_is_not_given_up(self):
+        """A repeatable request was abandoned as overdue and sent to a target
+        that rejected it: 502 in place of the response of the first target."""
+        with PlatformFleet(nodes=2, servers=3, services=("reads",)) as fleet:
+            node = fleet.nodes[0]
+            for server in fleet.servers:
+                server.work_s = 0.02
+            for number in range(30):
+                self.assertEqual(fleet.request(f"/reads/{number}", node)[0],
+                                 200)
+            statuses = []
+
+            def read(number):
+                statuses.append(fleet.request(f"/reads/{number}", node)[0])
+            for server in fleet.servers:
+                server.work_s = OVERDUE_WORK_S
+            callers = [threading.Thread(target=read, args=(number,))
+                       for number in range(len(fleet.servers))]
+            for caller in callers:
+                caller.start()
+            wait_for(lambda: sum(len(server.runs) for server in fleet.servers)
+                     >= 30 + len(callers), 5, "all requests at targets")
+            fleet.signal(node, signal.SIGTERM)
+            for server in fleet.servers:
+                server.behaviour = "shed"  # further requests
+            for caller in callers:
+                caller.join()
+            self.assertEqual(statuses, [200] * len(callers))
+
     def expect_no_cut(self, results):
         cut = [result for result in results
                if result[1] is None and result[0] > EXCUSED_S]
