--- a/review/common-3/rig.py
+++ b/review/common-3/rig.py
@@ -341,6 +341,8 @@
             return await self.reply(writer, 500, head, b"failed")
         self.rig.runs.append((self.rig.record.now(), attempt, self.service,
                               self.id))
+        self.rig.record.add("server-runs", server=self.id, attempt=attempt,
+                            service=self.service)
         if "/crash/" in path:
             await asyncio.sleep(0.01)
             await self.crash(attempt)
