Order records by writer, epoch and revision

Cause: a record was replaced only by one with a higher revision of the store, which assigns revisions again after such a return. All that compares revisions was affected: the record store, digests, announcements, lists of targets, the store reader and the confirmed view. A node took any item with an equal or lower revision for known, and its configuration for confirmed.

Change: Revision holds the writer's version (of a configuration its version, of a server the start of its process and its count), the epoch of the store's history, and the number, and is compared in this order. So the state that the copy has never replaces a newer one, and the same state in a new epoch is adopted whatever its number. A tombstone comes after the last version of its record, so that a copy of the record is older. Where a writer does not count, the store's own order within an epoch, and that of its watches, decide. Positions of the store are compared by epoch and number. Targets that are unchanged take over the epoch without being applied or sent again.

--- a/include/siskinstage/target_record.h
+++ b/include/siskinstage/target_record.h
@@ -10,6 +10,7 @@
 struct TargetRecord {
   ServiceName Service;
   TargetSpec Spec;
+  bool operator==(const TargetRecord &) const = default;
 };
 
 } // namespace siskinstage
--- a/src/core/fleet/confirmed_view.cpp
+++ b/src/core/fleet/confirmed_view.cpp
@@ -27,8 +27,8 @@
 }
 
 bool ConfirmedView::noteStoreRevision(Revision Seen) {
-  const bool UpToDate = Seen >= this->StoreRevision;
-  this->StoreRevision = std::max(this->StoreRevision, Seen);
+  const bool UpToDate = Seen.position() >= this->StoreRevision;
+  this->StoreRevision = std::max(this->StoreRevision, Seen.position());
   return UpToDate;
 }
 
--- a/src/core/fleet/confirmed_view.h
+++ b/src/core/fleet/confirmed_view.h
@@ -24,9 +24,9 @@
   void offer(Instant At, Revision Needed);
   /// Sets the revision of the configuration's record that requests see.
   void setApplied(Revision Rev);
-  /// Notes a revision of the platform's store, from a response of the store or
-  /// of another node. \returns whether none that was seen before is higher; a
-  /// response with a lower one shows an old state and confirms nothing.
+  /// Notes a position in the platform's history, from a response of the store
+  /// or of another node. \returns whether none that was seen before is higher;
+  /// a response with a lower one shows an old state and confirms nothing.
   bool noteStoreRevision(Revision Seen);
 
   [[nodiscard]] Revision storeRevision() const { return this->StoreRevision; }
@@ -48,7 +48,7 @@
 
   std::optional<Instant> Confirmed;
   Revision Applied;
-  Revision StoreRevision;                   ///< The highest one seen.
+  Revision StoreRevision;                   ///< The highest position seen.
   std::vector<PendingConfirmation> Pending; ///< Bounded; the oldest stay.
 };
 
--- a/src/core/fleet/gossip_codec.cpp
+++ b/src/core/fleet/gossip_codec.cpp
@@ -2,6 +2,7 @@
 #include "core/address.h"
 #include "core/fleet/quota_codec.h"
 #include "core/records/record_parser.h"
+#include "core/records/revision_codec.h"
 #include "siskinstage/config.h"
 
 #include <array>
@@ -56,7 +57,7 @@
     this->Output["k"] = "record";
     this->Output["c"] = static_cast<int>(Body.Key.Kind);
     this->Output["n"] = Body.Key.Name;
-    this->Output["r"] = toJson(Body.Rev.Value);
+    writeRevision(Body.Rev, "r", this->Output);
     this->Output["x"] = Body.Text;
   }
   void operator()(const TargetReport &Body) const {
@@ -85,15 +86,15 @@
   void operator()(const ConfirmationRequest &Body) const {
     this->Output["k"] = "confirm";
     this->Output["s"] = toJson(Body.Sequence);
-    this->Output["o"] = toJson(Body.StoreRevision.Value);
+    writeRevision(Body.StoreRevision, "o", this->Output);
   }
   void operator()(const ConfirmationResponse &Body) const {
     this->Output["k"] = "confirmed";
     this->Output["s"] = toJson(Body.Sequence);
-    this->Output["r"] = toJson(Body.Applied.Value);
+    writeRevision(Body.Applied, "r", this->Output);
     if (Body.Age)
       this->Output["a"] = static_cast<Json::Int64>(Body.Age->count());
-    this->Output["o"] = toJson(Body.StoreRevision.Value);
+    writeRevision(Body.StoreRevision, "o", this->Output);
   }
   void operator()(const QuotaRequest &Body) const {
     writeQuota(Body, this->Output);
@@ -115,13 +116,14 @@
     return malformed("c");
   if (!isText(Value["n"]))
     return malformed("n");
-  if (!Value["r"].isUInt64())
+  const auto Rev = readRevision(Value, "r");
+  if (!Rev)
     return malformed("r");
   if (!Value["x"].isString())
     return malformed("x");
   return RecordUpdate{
       {static_cast<RecordKind>(Value["c"].asInt()), Value["n"].asString()},
-      {Value["r"].asUInt64()},
+      *Rev,
       Value["x"].asString()};
 }
 
@@ -187,22 +189,23 @@
 Result<GossipBody> readConfirmationRequest(const Json::Value &Value) {
   if (!Value["s"].isUInt64())
     return malformed("s");
-  if (!Value["o"].isUInt64())
+  const auto StoreRevision = readRevision(Value, "o");
+  if (!StoreRevision)
     return malformed("o");
-  return ConfirmationRequest{Value["s"].asUInt64(), {Value["o"].asUInt64()}};
+  return ConfirmationRequest{Value["s"].asUInt64(), *StoreRevision};
 }
 
 Result<GossipBody> readConfirmationResponse(const Json::Value &Value) {
   if (!Value["s"].isUInt64())
     return malformed("s");
-  if (!Value["r"].isUInt64())
+  const auto Applied = readRevision(Value, "r");
+  if (!Applied)
     return malformed("r");
-  if (!Value["o"].isUInt64())
+  const auto StoreRevision = readRevision(Value, "o");
+  if (!StoreRevision)
     return malformed("o");
-  ConfirmationResponse Response = {Value["s"].asUInt64(),
-                                   {Value["r"].asUInt64()},
-                                   std::nullopt,
-                                   {Value["o"].asUInt64()}};
+  ConfirmationResponse Response = {Value["s"].asUInt64(), *Applied,
+                                   std::nullopt, *StoreRevision};
   if (!Value.isMember("a"))
     return Response;
   if (!Value["a"].isInt64() || Value["a"].asInt64() < 0 ||
--- a/src/core/records/record_list.h
+++ b/src/core/records/record_list.h
@@ -11,7 +11,9 @@
 /// All records of one kind that the platform had at one revision.
 struct RecordList {
   RecordKind Kind = RecordKind::Target;
-  Revision AsOf; ///< A record that is missing and older than this was deleted.
+  /// Position in the platform's history; a record that is missing and older was
+  /// deleted.
+  Revision AsOf;
   std::set<std::string> Names;
 };
 
--- a/src/core/records/record_parser.cpp
+++ b/src/core/records/record_parser.cpp
@@ -3,6 +3,7 @@
 #include "core/records/account_reader.h"
 #include "core/records/record_names.h"
 #include "core/records/record_upgrade.h"
+#include "core/records/revision_codec.h"
 #include "siskinstage/record_limits.h"
 
 #include <algorithm>
@@ -225,6 +226,24 @@
   return Fleet;
 }
 
+Revision readRecordRevision(FieldReader &Fields, const Json::Value &Value) {
+  const std::string Field = "revision";
+  Revision Rev = {Fields.requiredNumber(
+      Field, 1,
+      static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max()))};
+  // Marks the fields as known.
+  Fields.value(epochField(Field));
+  Fields.value(writerField(Field));
+  if (!Fields.has(epochField(Field)) && !Fields.has(writerField(Field)))
+    return Rev;
+  if (const auto Complete = readRevision(Value, Field))
+    return *Complete;
+  Fields.addFault(epochField(Field),
+                  "a whole number up to 2^53, beside " + writerField(Field) +
+                      " as [process, count] or [process, count, deleted]");
+  return Rev;
+}
+
 RecordBody readBody(FieldReader &Fields, RecordReading &Reading,
                     const RecordKey &Key) {
   switch (Key.Kind) {
@@ -296,7 +315,7 @@
   Value["schema"] = NewestSchema;
   Value["kind"] = recordKindName(Key.Kind);
   Value["name"] = Key.Name;
-  Value["revision"] = static_cast<Json::UInt64>(Rev.Value);
+  writeRevision(Rev, "revision", Value);
   Value["deleted"] = true;
   return {Key, Rev, Tombstone{}, recordText(Value)};
 }
@@ -323,9 +342,7 @@
   Parsed.Key.Name = Parsed.Key.Kind == RecordKind::Target
                         ? readForeignName(Fields, "name")
                         : readName(Fields, "name");
-  Parsed.Rev.Value = Fields.requiredNumber(
-      "revision", 1,
-      static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max()));
+  Parsed.Rev = readRecordRevision(Fields, *Newest);
   if (Fields.flag("deleted").value_or(false))
     Parsed.Body = Tombstone{};
   else
@@ -342,7 +359,10 @@
 std::optional<std::pair<RecordKey, Revision>>
 recordIdentity(const Json::Value &Value) {
   if (!Value.isObject() || !Value["kind"].isString() ||
-      !Value["name"].isString() || !Value["revision"].isUInt64())
+      !Value["name"].isString())
+    return std::nullopt;
+  const auto Rev = readRevision(Value, "revision");
+  if (!Rev)
     return std::nullopt;
   const auto Kind =
       std::find(KindNames.begin(), KindNames.end(), Value["kind"].asString());
@@ -350,7 +370,7 @@
     return std::nullopt;
   const RecordKey Key = {static_cast<RecordKind>(Kind - KindNames.begin()),
                          Value["name"].asString()};
-  return std::pair(Key, Revision{Value["revision"].asUInt64()});
+  return std::pair(Key, *Rev);
 }
 
 Result<std::vector<Json::Value>> parseRecords(const std::string &Text,
--- a/src/core/records/record_store.cpp
+++ b/src/core/records/record_store.cpp
@@ -1,6 +1,8 @@
 #include "core/records/record_store.h"
+#include "core/records/revision_codec.h"
 
 #include <algorithm>
+#include <json/writer.h>
 #include <xxhash.h>
 
 namespace siskinstage {
@@ -15,8 +17,37 @@
   return hashOf(Key.text()) % config::DigestBuckets;
 }
 
+std::string revisionText(const Revision &Rev) {
+  Json::Value Object(Json::objectValue);
+  writeRevision(Rev, "r", Object);
+  return Json::writeString(Json::StreamWriterBuilder(), Object);
+}
+
+std::string targetText(const TargetRecord &Target) {
+  const TargetSpec &Spec = Target.Spec;
+  std::string Text;
+  for (const std::string &Part :
+       {Target.Service.str(), Spec.Endpoint.str(), Spec.Domain.str(),
+        std::to_string(Spec.Capacity.Value), std::to_string(Spec.Leaving),
+        std::to_string(Spec.Warmup.count()),
+        std::to_string(Spec.Process.Value)})
+    Text += Part + "\n";
+  return Text;
+}
+
 std::uint64_t digestOf(const Record &Stored) {
-  return hashOf(Stored.Key.text() + "@" + std::to_string(Stored.Rev.Value));
+  const auto *Target = std::get_if<TargetRecord>(&Stored.Body);
+  return hashOf(
+      Stored.Key.text() + "@" +
+      (Target != nullptr ? targetText(*Target) : revisionText(Stored.Rev)));
+}
+
+/// Whether both are the same target in different epochs.
+bool isSameTarget(const Record &New, const Record &Old) {
+  const auto *NewTarget = std::get_if<TargetRecord>(&New.Body);
+  const auto *OldTarget = std::get_if<TargetRecord>(&Old.Body);
+  return New.Rev.Epoch != Old.Rev.Epoch && NewTarget != nullptr &&
+         OldTarget != nullptr && *NewTarget == *OldTarget;
 }
 
 } // namespace
@@ -27,7 +58,7 @@
   if (Old != nullptr)
     this->Digests[Bucket] ^= digestOf(*Old);
   this->Buckets[Bucket].insert(New.Key);
-  this->Highest = std::max(this->Highest, New.Rev);
+  this->Highest = std::max(this->Highest, New.Rev.position());
 }
 
 RecordStore::Adoption RecordStore::adopt(const Record &New) {
@@ -40,9 +71,10 @@
     return Adoption::Same;
   if (New.Rev < Found->second.Rev)
     return Adoption::Older;
+  const bool Unchanged = isSameTarget(New, Found->second);
   this->updateIndex(New, &Found->second);
   Found->second = New;
-  return Adoption::Adopted;
+  return Unchanged ? Adoption::Same : Adoption::Adopted;
 }
 
 const Record *RecordStore::find(const RecordKey &Key) const {
--- a/src/core/records/record_store.h
+++ b/src/core/records/record_store.h
@@ -13,12 +13,14 @@
 
 /// The records in force. A record is replaced only by one of a higher revision.
 /// A tombstone is kept like any record, so that a deleted record can't come
-/// back from a stale source. Not thread-safe.
+/// back from a stale source. When the platform returns from a copy, all of its
+/// targets have a new epoch; those that are unchanged only take over the
+/// revision. Not thread-safe.
 class RecordStore {
 public:
   enum class Adoption {
     Adopted, ///< The record is now in force.
-    Same,    ///< The same revision was in force already.
+    Same,    ///< The record was in force already, perhaps from another epoch.
     Older,   ///< A higher revision is in force; nothing changed.
   };
 
@@ -28,10 +30,11 @@
   /// The record or tombstone in force, or null.
   [[nodiscard]] const Record *find(const RecordKey &Key) const;
   [[nodiscard]] const std::map<RecordKey, Record> &all() const;
-  /// The highest revision in force.
+  /// The highest position in the platform's history that is in force.
   [[nodiscard]] Revision highest() const;
 
-  /// Hash of all keys and revisions, equal at stores that hold the same ones.
+  /// Hash of all records, equal at stores that hold the same ones. Targets are
+  /// compared by content, all others by revision.
   [[nodiscard]] std::uint64_t digest() const;
   /// The same hash for each of config::DigestBuckets buckets of keys.
   [[nodiscard]] const std::vector<std::uint64_t> &bucketDigests() const;
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -74,7 +74,10 @@
   const Record *Current = this->records().find(New.Key);
   const auto Old =
       Current == nullptr ? std::nullopt : std::optional<Record>(*Current);
-  if (this->Context.Records.adopt(New) != RecordStore::Adoption::Adopted)
+  const Revision Before = this->records().highest();
+  const auto Adoption = this->Context.Records.adopt(New);
+  this->followEpoch(Before, New, From);
+  if (Adoption != RecordStore::Adoption::Adopted)
     return;
   this->SnapshotChanged = true;
   if (Old)
@@ -85,6 +88,24 @@
   this->broadcastRecord(New, From);
 }
 
+void DecisionLoop::followEpoch(const Revision &Before, const Record &New,
+                               const FailureDomain &From) {
+  const Revision After = this->records().highest();
+  if (After.Epoch == Before.Epoch)
+    return;
+  this->SnapshotChanged = true;
+  if (Before.Epoch == HistoryEpoch{})
+    return; // The first record of the platform.
+  logEvent(LogLevel::Info, "the platform's history has a new epoch",
+           {{"epoch_before", std::to_string(Before.Epoch.Value)},
+            {"epoch", std::to_string(After.Epoch.Value)},
+            {"revision_before", std::to_string(Before.Value)},
+            {"revision", std::to_string(After.Value)},
+            {"record", New.Key.text()},
+            {"source", From.empty() ? "platform" : "node of " + From.str()},
+            {"records", std::to_string(this->records().all().size())}});
+}
+
 std::optional<Record> DecisionLoop::findDeletion(const Record &New) const {
   // Records of live targets may be missing until the targets register again.
   if (isOutageReported(this->Context))
@@ -282,7 +303,7 @@
     View.setApplied(this->NextSnapshot.ConfigRevision);
   });
   this->Context.NodeMetrics.setHighestRevision(
-      static_cast<double>(this->NextSnapshot.HighestRevision.Value));
+      this->NextSnapshot.HighestRevision);
   this->SnapshotChanged = false;
 }
 
--- a/src/node/fleet/peer_api.cpp
+++ b/src/node/fleet/peer_api.cpp
@@ -1,6 +1,7 @@
 #include "node/fleet/peer_api.h"
 #include "core/fleet/gossip_codec.h"
 #include "core/hex.h"
+#include "core/records/revision_codec.h"
 #include "net/boot_time.h"
 #include "net/http_client.h"
 #include "net/json_text.h"
@@ -56,7 +57,7 @@
     Json::Value Entry(Json::objectValue);
     Entry["kind"] = recordKindName(Key.Kind);
     Entry["name"] = Key.Name;
-    Entry["revision"] = static_cast<Json::UInt64>(Rev.Value);
+    writeRevision(Rev, "revision", Entry);
     List.append(Entry);
   }
   return List;
--- a/src/node/operators/metrics.cpp
+++ b/src/node/operators/metrics.cpp
@@ -87,6 +87,9 @@
                              "Observations dropped at a full ring.")),
       HighestRevision(gauge(*this->Registry, "siskinstage_config_revision",
                             "Highest revision in force.")),
+      Epoch(gauge(*this->Registry, "siskinstage_platform_epoch",
+                  "Epoch of the platform's history; it rises when the platform "
+                  "returns from an older copy.")),
       KeyCount(gauge(*this->Registry, "siskinstage_keys",
                      "Idempotency keys in the owner table.")),
       ConfigViewAge(
@@ -182,8 +185,9 @@
   this->ObservationsLost.Set(Count);
 }
 
-void Metrics::setHighestRevision(double Highest) {
-  this->HighestRevision.Set(Highest);
+void Metrics::setHighestRevision(const Revision &Highest) {
+  this->HighestRevision.Set(static_cast<double>(Highest.Value));
+  this->Epoch.Set(static_cast<double>(Highest.Epoch.Value));
 }
 
 void Metrics::setKeyCount(double Count) { this->KeyCount.Set(Count); }
--- a/src/node/operators/metrics.h
+++ b/src/node/operators/metrics.h
@@ -48,7 +48,7 @@
   void setAcceptFailures(double Times);
   void setReady(bool IsReady);
   void setObservationsLost(double Count);
-  void setHighestRevision(double Highest);
+  void setHighestRevision(const Revision &Highest);
   void setKeyCount(double Count);
   /// \param Seconds age of the confirmed view; negative if there is none.
   void setConfigViewAge(double Seconds);
@@ -89,6 +89,7 @@
   prometheus::Gauge &Ready;
   prometheus::Gauge &ObservationsLost;
   prometheus::Gauge &HighestRevision;
+  prometheus::Gauge &Epoch;
   prometheus::Gauge &KeyCount;
   prometheus::Gauge &ConfigViewAge;
   prometheus::Family<prometheus::Gauge> &TargetCounts;
--- a/src/node/operators/state_dump.cpp
+++ b/src/node/operators/state_dump.cpp
@@ -123,6 +123,7 @@
   Dump["withdrawn"] = Context.ConfigView.withdrawn();
   Dump["config_revision"] = Number(View.applied().Value);
   Dump["store_revision"] = Number(View.storeRevision().Value);
+  Dump["store_epoch"] = Number(View.storeRevision().Epoch.Value);
   Dump["awaits_record"] = View.awaitsRecord();
   Dump["reads"] = Number(Counts.Reads);
   Dump["old_reads"] = Number(Counts.OldReads);
@@ -217,6 +218,8 @@
   Config["configured"] = Current->Configured;
   Config["highest_revision"] =
       static_cast<Json::UInt64>(Current->HighestRevision.Value);
+  Config["epoch"] =
+      static_cast<Json::UInt64>(Current->HighestRevision.Epoch.Value);
   Config["records"] = static_cast<Json::UInt64>(Current->RecordCount);
   Config["routes"] = static_cast<Json::UInt64>(Current->Routes.size());
   Config["accounts"] =
--- /dev/null
+++ b/tests/integration/test_store_return.py
@@ -0,0 +1,298 @@
+"""Tests a store that is away for a moment and returns from an older copy: what
+was written since is lost, its revisions are assigned again, and the operator and
+the servers write again what they wrote."""
+
+import signal
+import threading
+import time
+import unittest
+
+from fleet import wait_for
+from platform_fleet import BOUNDS, PlatformFleet, route
+from platform_revocation import BOUNDS as KEYED_BOUNDS
+from platform_revocation import KEPT_KEY, LIMIT_S, KeyedFleet, KeyLoad
+
+AWAY_S = 0.6
+#: Entries that live are written again within this time of the store's return.
+ENTRY_RETURN_S = 2
+#: The store is stable, and nodes count as connected, this long after its return.
+CONTACT_S = 3
+#: A configuration is in force at all connected nodes after this time.
+APPLY_S = BOUNDS["config-apply-s"]
+SETTLE_S = 0.6  # until all nodes know what was written
+
+
+class Callers:
+    """Sends requests on some paths to all nodes in turn until it is stopped."""
+
+    PERIOD_S = 0.02
+
+    def __init__(self, fleet, paths, callers=2):
+        self.fleet = fleet
+        self.paths = paths
+        self.results = []  # (time sent, node, path, status)
+        self.stopped = threading.Event()
+        self.threads = [threading.Thread(target=self.run, args=(number,))
+                        for number in range(callers)]
+
+    def __enter__(self):
+        for thread in self.threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self.stopped.set()
+        for thread in self.threads:
+            thread.join()
+
+    def run(self, number):
+        while not self.stopped.wait(self.PERIOD_S):
+            number += 1
+            node = self.fleet.nodes[number % len(self.fleet.nodes)]
+            path = self.paths[number // len(self.fleet.nodes)
+                              % len(self.paths)]
+            sent = time.monotonic()
+            try:
+                status = self.fleet.request(path, node, "POST", b"lot",
+                                            deadline_ms=2000)[0]
+            except OSError:
+                continue  # The node is down or frozen.
+            self.results.append((sent, node, path, status))
+
+    def failed(self, begin, statuses=(401, 403, 404, 503)):
+        """The requests sent later than begin with one of the statuses."""
+        return [(round(sent - begin, 2), node, path, status)
+                for sent, node, path, status in list(self.results)
+                if sent > begin and status in statuses]
+
+
+def routes(number, **more):
+    """Routes whose timeout differs with each number."""
+    return {"r1": route("/reads/", "reads", "unsafe", 2 + number / 10),
+            "r2": route("/orders/", "orders", "unsafe", 2), **more}
+
+
+def return_from(store, copy):
+    store.go_away()
+    time.sleep(AWAY_S)
+    store.return_from(copy)
+
+
+def rewrite_config(store, newest):
+    """The operator writes its newest configuration again; the copy may have
+    that one."""
+    if store.items["op/config"]["value"] != newest["value"]:
+        store.put_raw("op/config", newest["value"])
+
+
+class StoreReturn(unittest.TestCase):
+    NODES = 10
+
+    def setUp(self):
+        self.fleet = PlatformFleet(nodes=self.NODES, servers=3).__enter__()
+        self.addCleanup(self.fleet.stop)
+        self.store = self.fleet.store
+
+    def configure(self, count, **more):
+        for number in range(count):
+            self.fleet.configure(routes(number, **more))
+        return self.store.items["op/config"]
+
+    def runs_since(self, server, begin):
+        return [round(at - begin, 2) for at, _ in server.arrival_times
+                if at > begin]
+
+    def expect_in_force(self, paths, statuses):
+        for node in self.fleet.nodes:
+            for path, status in zip(paths, statuses):
+                self.assertEqual(
+                    self.fleet.request(path, node, "POST", b"lot")[0], status,
+                    f"{path} at {node}")
+
+    # Guards against configurations that all nodes ignore, as their revisions
+    # were assigned before.
+    def test_configurations_with_revisions_that_were_assigned_before(self):
+        # One takes the newest's revision; the next one's is equal or lower.
+        for lost in (2, 5):
+            copy = self.store.copy()
+            newest = self.configure(lost)
+            time.sleep(SETTLE_S)
+            return_from(self.store, copy)
+            rewrite_config(self.store, newest)
+            time.sleep(CONTACT_S)
+            moved = {"r1": route("/reads/", "orders", "unsafe", 2),
+                     f"new{lost}": route(f"/new{lost}/", "reads", "unsafe", 2)}
+            self.fleet.configure(moved)
+            time.sleep(APPLY_S)
+            self.expect_in_force(["/reads/1", f"/new{lost}/1", "/orders/1"],
+                                 [200, 200, 404])
+            for node in self.fleet.nodes:
+                body = self.fleet.request("/reads/1", node, "POST", b"lot")[2]
+                self.assertIn("from i-orders", body)
+            self.configure(1)
+            time.sleep(APPLY_S)
+
+    # Guards against a configuration that goes back to that of the copy, also at
+    # a node that starts while the store has the older one.
+    def test_the_newest_configuration_stays_in_force(self):
+        copy = self.store.copy()
+        newest = self.configure(2, r3=route("/added/", "reads", "unsafe", 2))
+        time.sleep(APPLY_S)
+        restarted = self.fleet.nodes[-1]
+        with Callers(self.fleet, ["/added/1", "/reads/1"]) as callers:
+            begin = time.monotonic()
+            return_from(self.store, copy)
+            self.fleet.signal(restarted, signal.SIGKILL)
+            self.fleet.processes[restarted].wait()
+            self.fleet.start(restarted)
+            self.fleet.await_ready(restarted)
+            time.sleep(CONTACT_S)
+            rewrite_config(self.store, newest)
+            time.sleep(APPLY_S)
+        # The node that restarts has no configuration at first.
+        failed = [one for one in callers.failed(begin)
+                  if one[1:] != (restarted, "/added/1", 503)
+                  and one[1:] != (restarted, "/reads/1", 503)]
+        self.assertEqual(failed, [])
+        self.expect_in_force(["/added/1"], [200])
+
+    # Guards against servers that are used although they left, or refused
+    # although they live, as the copy has an older state of them.
+    def test_servers_that_the_copy_has_in_another_state(self):
+        # A server that is added later is neither in the copy.
+        left, drained, stayed = self.fleet.of_service("orders")
+        added = self.fleet.of_service("reads")[2]
+        self.store.remove(f"servers/{added.id}")
+        time.sleep(SETTLE_S)
+        copy = self.store.copy()
+        self.fleet.register(added)
+        self.fleet.register(drained, state="draining")
+        self.store.remove(f"servers/{left.id}")
+        time.sleep(SETTLE_S)
+        with Callers(self.fleet, ["/orders/1", "/reads/1"], 6) as callers:
+            time.sleep(BOUNDS["drain-s"])
+            begin = time.monotonic()
+            return_from(self.store, copy)
+            returned = time.monotonic()
+            time.sleep(ENTRY_RETURN_S * 0.75)
+            self.fleet.register(added)
+            time.sleep(CONTACT_S)
+            # A departed server whose entry is due to lapse is gone for good; one
+            # that registers again is used.
+            self.assertEqual(self.runs_since(left, begin), [])
+            self.assertEqual(self.runs_since(drained, begin), [])
+            self.fleet.register(left)
+            wait_for(lambda: self.runs_since(left, begin), APPLY_S,
+                     "requests at a server that registers again")
+        self.assertEqual(callers.failed(begin, (401, 403, 404, 503)), [])
+        # The server that the copy lacks is used all the time.
+        times = self.runs_since(added, begin)
+        self.assertGreater(len([at for at in times
+                                if at < returned + ENTRY_RETURN_S - begin]), 0)
+        gaps = [later - earlier for earlier, later in zip(times, times[1:])]
+        self.assertLess(max(gaps), 1)
+
+    # Guards against a server that did not come back and is used for ever.
+    def test_a_server_that_is_not_registered_again_is_gone(self):
+        lost = self.fleet.of_service("orders")[0]
+        self.store.remove(f"servers/{lost.id}")
+        time.sleep(SETTLE_S)
+        copy = self.store.copy()
+        self.fleet.register(lost)
+        time.sleep(SETTLE_S)
+        with Callers(self.fleet, ["/orders/1"], 4):
+            return_from(self.store, copy)
+            time.sleep(CONTACT_S + BOUNDS["drain-s"])
+            begin = time.monotonic()
+            time.sleep(1)
+        self.assertEqual(self.runs_since(lost, begin), [])
+
+    # Guards against a frozen node that keeps or passes on the state before two
+    # returns of the store.
+    def test_a_node_that_is_frozen_through_two_returns(self):
+        frozen = self.fleet.nodes[-1]
+        left = self.fleet.of_service("orders")[0]
+        self.fleet.signal(frozen, signal.SIGSTOP)
+        for _ in range(2):
+            copy = self.store.copy()
+            newest = self.configure(3)
+            time.sleep(SETTLE_S)
+            return_from(self.store, copy)
+            rewrite_config(self.store, newest)
+            time.sleep(CONTACT_S)
+        self.store.remove(f"servers/{left.id}")
+        self.fleet.configure({"r1": route("/reads/", "reads", "unsafe", 2),
+                              "r2": route("/moved/", "orders", "unsafe", 2)})
+        time.sleep(SETTLE_S)
+        self.fleet.signal(frozen, signal.SIGCONT)
+        time.sleep(CONTACT_S)
+        begin = time.monotonic()
+        for _ in range(3):
+            self.expect_in_force(["/moved/1", "/orders/1"], [200, 404])
+        self.assertEqual(self.runs_since(left, begin), [])
+        epochs = {self.fleet.state(node)["config"]["epoch"]
+                  for node in self.fleet.nodes}
+        self.assertEqual(epochs, {3})
+
+
+class KeysAfterStoreReturn(unittest.TestCase):
+    def setUp(self):
+        self.fleet = PlatformFleet(nodes=6, servers=4,
+                                   bounds=KEYED_BOUNDS).__enter__()
+        self.addCleanup(self.fleet.stop)
+        self.store = self.fleet.store
+
+    def expect_revoked(self, lost):
+        """A key is revoked after the return from a copy that lacks some
+        configurations; the new one has an equal or a lower revision."""
+        keyed = KeyedFleet(self.fleet, ["revoked-key"])
+        for node in self.fleet.nodes:
+            wait_for(lambda n=node: keyed.served(n, "revoked-key"), 6,
+                     f"requests served at {node}")
+        copy = self.store.copy()
+        for _ in range(lost):
+            keyed.publish()
+        newest = self.store.items["op/config"]
+        time.sleep(SETTLE_S)
+        with KeyLoad(keyed, "revoked-key", self.fleet.nodes), \
+                KeyLoad(keyed, KEPT_KEY, self.fleet.nodes) as kept:
+            begin = time.monotonic()
+            return_from(self.store, copy)
+            time.sleep(ENTRY_RETURN_S)
+            rewrite_config(self.store, newest)
+            time.sleep(CONTACT_S)
+            keyed.revoke("revoked-key")
+            time.sleep(LIMIT_S + 2)
+        self.assertGreater(keyed.runs("revoked-key"), 0)
+        self.assertEqual(keyed.late_runs("revoked-key"), [])
+        self.assertEqual(kept.statuses(begin, time.monotonic()), {200})
+
+    # Guards against a key that stays in use as the configuration that revokes
+    # it has the revision of a lost one, which nodes take for confirmed.
+    def test_a_key_revoked_under_a_revision_that_was_assigned_before(self):
+        self.expect_revoked(2)
+
+    # Guards against nodes that wait for a revision that the store has lost, and
+    # reject all requests with a key.
+    def test_keys_are_served_while_revisions_are_lower_than_before(self):
+        self.expect_revoked(6)
+
+    # Guards against a lost revocation that is undone by the copy.
+    def test_a_key_revoked_in_the_lost_seconds_stays_revoked(self):
+        keyed = KeyedFleet(self.fleet, ["revoked-key"])
+        time.sleep(APPLY_S)
+        copy = self.store.copy()
+        keyed.revoke("revoked-key")
+        time.sleep(KEYED_BOUNDS["config-apply-s"])
+        with KeyLoad(keyed, "revoked-key", self.fleet.nodes) as load, \
+                KeyLoad(keyed, KEPT_KEY, self.fleet.nodes) as kept:
+            time.sleep(0.3)
+            begin = time.monotonic()
+            return_from(self.store, copy)
+            time.sleep(LIMIT_S + 2)
+        self.assertEqual(load.statuses(begin, time.monotonic()), {401})
+        self.assertEqual(kept.statuses(begin, time.monotonic()), {200})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -42,6 +42,7 @@
         self.endless_calls = 0
         self.rejected_addresses = set()  # nodes that get status 429
         self.old_revision = None  # reads return this state, if it is set
+        self.era = 1              # header of all responses, if it is set
         self.calls = 0
         store = self
 
@@ -62,9 +63,12 @@
 
     def put(self, key, value):
         raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.put_raw(key, base64.b64encode(raw).decode())
+
+    def put_raw(self, key, encoded):
         with self.changed:
             self.revision += 1
-            item = {"key": key, "value": base64.b64encode(raw).decode(),
+            item = {"key": key, "value": encoded,
                     "revision": self.revision, "created": 1, "lease": 0}
             self.items[key] = item
             self.events.append(item)
@@ -84,6 +88,24 @@
             self.events.clear()
             self.changed.notify_all()
 
+    def copy(self):
+        """All that the store holds, for return_from."""
+        with self.changed:
+            return dict(self.items), list(self.events), self.revision
+
+    def go_away(self):
+        self.set_mode("drop")
+
+    def return_from(self, copy):
+        """The store is back with the content of an older copy: what was written
+        since is lost, and its revisions are assigned again."""
+        with self.changed:
+            items, events, self.revision = copy
+            self.items, self.events = dict(items), list(events)
+            self.era += 1
+            self.mode = "up"
+            self.changed.notify_all()
+
     def set_mode(self, mode):
         with self.changed:
             self.mode = mode
@@ -135,7 +157,7 @@
         deadline = time.monotonic() + int(query["wait-ms"]) / 1000
         with self.changed:
             while True:
-                if after < self.compacted:
+                if after < self.compacted or after > self.revision:
                     body, status = {}, 410
                     break
                 revision = self.old_revision or self.revision
@@ -169,11 +191,12 @@
         except OSError:
             pass  # The caller has closed the connection.
 
-    @staticmethod
-    def send(call, status, body):
+    def send(self, call, status, body):
         text = json.dumps(body).encode()
         call.send_response(status)
         call.send_header("Content-Type", "application/json")
+        if self.era is not None:
+            call.send_header("Store-Era", str(self.era))
         call.send_header("Content-Length", str(len(text)))
         call.end_headers()
         call.wfile.write(text)
@@ -189,6 +212,7 @@
         self.address = ("127.0.3.1", 18700 + index)
         self.work_s = 0.02
         self.born = 1700000000000  # start of its process, in milliseconds
+        self.seq = 0               # number of its writes to the store
         # normal, hang, shed, unsealed, error, reset, encoded, cut or busy
         self.behaviour = "normal"
         self.sends_second_response = False
@@ -224,12 +248,14 @@
         self.listener.server_close()
 
     def entry(self, state="ready", **changes):
-        """The entry of the server in the store."""
+        """The entry that the server writes to the store next."""
+        self.seq += 1
         entry = {"address": f"{self.address[0]}:{self.address[1]}",
                  "born": self.born,
                  "details": {"service": self.service, "version": "v1",
                              "zone": self.zone, "slots": 3},
-                 "status": {"state": state, "seq": 4, "warmup-left-s": 0}}
+                 "status": {"state": state, "seq": self.seq,
+                            "warmup-left-s": 0}}
         entry.update(changes)
         return entry
 
--- a/tests/unit/confirmed_view_test.cpp
+++ b/tests/unit/confirmed_view_test.cpp
@@ -57,6 +57,29 @@
   EXPECT_EQ(View.storeRevision(), Revision{8});
 }
 
+/// Guards against a node that waits for revisions which the store has lost, and
+/// rejects all requests with a key meanwhile.
+TEST(ConfirmedView, ALowerRevisionOfANewEpochIsNoOldState) {
+  ConfirmedView View;
+  EXPECT_TRUE(View.noteStoreRevision({8, {1}}));
+  EXPECT_TRUE(View.noteStoreRevision({3, {2}}));
+  EXPECT_FALSE(View.noteStoreRevision({9, {1}}));
+  View.setApplied({8, {1}, {0, 20}});
+  View.offer(at(1'000), {5, {2}, {0, 21}});
+  EXPECT_FALSE(View.age(at(1'000)));
+  View.setApplied({5, {2}, {0, 21}});
+  EXPECT_EQ(View.age(at(1'500)), Millis(500));
+}
+
+/// Guards against a node with the copy's configuration that takes it for as new
+/// as a peer's newer one, whose epoch is lower.
+TEST(ConfirmedView, AConfigurationOfTheCopyIsNotAsNewAsALostOne) {
+  ConfirmedView View;
+  View.setApplied({5, {2}, {0, 19}});
+  View.offer(at(1'000), {8, {1}, {0, 20}});
+  EXPECT_FALSE(View.age(at(1'000)));
+}
+
 /// Guards against polls of the watchers by all nodes, and against a node that
 /// polls itself.
 TEST(ConfirmationPoll, EntriesPollWatchersAndOtherNodesTheirEntries) {
--- a/tests/unit/gossip_test.cpp
+++ b/tests/unit/gossip_test.cpp
@@ -28,6 +28,7 @@
       PingRequest{2, Address("10.0.0.3:80")},
       Ack{3},
       RecordUpdate{{RecordKind::Route, "r"}, {4}, "{}"},
+      RecordUpdate{{RecordKind::Route, "r"}, {4, {2}, {9, 5, true}}, "{}"},
       TargetReport{ServiceName("s"), TargetId("t"), ReportKind::Failing, 2},
       GrayEstimateUpdate{ServiceName("s"), TargetId("t"), 93, 450, 60},
       CrashReport{{9}, TargetId("t")},
@@ -35,6 +36,7 @@
       ConfirmationRequest{~0ULL, {7}},
       ConfirmationResponse{~0ULL, {6}, Millis(1'250), {7}},
       ConfirmationResponse{1, {6}, std::nullopt, {7}},
+      ConfirmationResponse{1, {6, {2}, {0, 5}}, std::nullopt, {7, {2}}},
       QuotaRequest{7, true, true, 900, {{~0ULL, 400'000, 10, 2.5, 30}}},
       QuotaResponse{7, 6, true, 4000, {{~0ULL, 390'000, 1500}}}};
   for (const GossipBody &Body : Bodies) {
--- a/tests/unit/platform_translation_test.cpp
+++ b/tests/unit/platform_translation_test.cpp
@@ -57,6 +57,21 @@
   EXPECT_FALSE(Target.Spec.Leaving);
 }
 
+// Guards against records that the store's revision alone puts in order: it
+// assigns revisions again after it has returned from a copy.
+TEST(PlatformTranslation, RecordsHaveTheOrderOfTheirWriters) {
+  StoreItem Server = serverItem(ValidServer);
+  Server.Rev.Epoch = {3};
+  EXPECT_EQ(readRecord(*targetRecord(Server)).Accepted->Rev,
+            (Revision{12, {3}, {1700000000123, 4}}));
+  StoreItem Config = configItem(ValidConfig);
+  Config.Rev.Epoch = {3};
+  const Revision Expected = {40, {3}, {0, 7}};
+  EXPECT_EQ(readRecord(bundleRecord(Config, {})->Bundle).Accepted->Rev,
+            Expected);
+  EXPECT_EQ(*bundleRevision(Config), Expected);
+}
+
 TEST(PlatformTranslation, ADrainingServerIsLeaving) {
   std::string Text = ValidServer;
   Text.replace(Text.find("ready"), 5, "draining");
