--- a/tests/integration/test_store_return.py
+++ b/tests/integration/test_store_return.py
@@ -27,9 +27,10 @@
 
     PERIOD_S = 0.02
 
-    def __init__(self, fleet, paths, callers=2):
+    def __init__(self, fleet, paths, callers=2, key=None):
         self.fleet = fleet
         self.paths = paths
+        self.key = key
         self.results = []  # (time sent, node, path, status)
         self.stopped = threading.Event()
         self.threads = [threading.Thread(target=self.run, args=(number,))
@@ -54,7 +55,7 @@
             sent = time.monotonic()
             try:
                 status = self.fleet.request(path, node, "POST", b"lot",
-                                            deadline_ms=2000)[0]
+                                            deadline_ms=2000, key=self.key)[0]
             except OSError:
                 continue  # The node is down or frozen.
             self.results.append((sent, node, path, status))
@@ -73,16 +74,14 @@
 
 
 def return_from(store, copy):
+    """Returns the items that are lost, see Store.write_again."""
     store.go_away()
     time.sleep(AWAY_S)
-    store.return_from(copy)
+    return store.return_from(copy)
 
 
-def rewrite_config(store, newest):
-    """The operator writes its newest configuration again; the copy may have
-    that one."""
-    if store.items["op/config"]["value"] != newest["value"]:
-        store.put_raw("op/config", newest["value"])
+def rewrite_config(store, newest, copy):
+    store.write_again(newest, copy, "op/")
 
 
 class StoreReturn(unittest.TestCase):
@@ -96,7 +95,6 @@
     def configure(self, count, **more):
         for number in range(count):
             self.fleet.configure(routes(number, **more))
-        return self.store.items["op/config"]
 
     def runs_since(self, server, begin):
         return [round(at - begin, 2) for at, _ in server.arrival_times
@@ -115,10 +113,10 @@
         # One takes the newest's revision; the next one's is equal or lower.
         for lost in (2, 5):
             copy = self.store.copy()
-            newest = self.configure(lost)
+            self.configure(lost)
             time.sleep(SETTLE_S)
-            return_from(self.store, copy)
-            rewrite_config(self.store, newest)
+            newest = return_from(self.store, copy)
+            rewrite_config(self.store, newest, copy)
             time.sleep(CONTACT_S)
             moved = {"r1": route("/reads/", "orders", "unsafe", 2),
                      f"new{lost}": route(f"/new{lost}/", "reads", "unsafe", 2)}
@@ -136,18 +134,18 @@
     # a node that starts while the store has the older one.
     def test_the_newest_configuration_stays_in_force(self):
         copy = self.store.copy()
-        newest = self.configure(2, r3=route("/added/", "reads", "unsafe", 2))
+        self.configure(2, r3=route("/added/", "reads", "unsafe", 2))
         time.sleep(APPLY_S)
         restarted = self.fleet.nodes[-1]
         with Callers(self.fleet, ["/added/1", "/reads/1"]) as callers:
             begin = time.monotonic()
-            return_from(self.store, copy)
+            newest = return_from(self.store, copy)
             self.fleet.signal(restarted, signal.SIGKILL)
             self.fleet.processes[restarted].wait()
             self.fleet.start(restarted)
             self.fleet.await_ready(restarted)
             time.sleep(CONTACT_S)
-            rewrite_config(self.store, newest)
+            rewrite_config(self.store, newest, copy)
             time.sleep(APPLY_S)
         # The node that restarts has no configuration at first.
         failed = [one for one in callers.failed(begin)
@@ -215,10 +213,10 @@
         self.fleet.signal(frozen, signal.SIGSTOP)
         for _ in range(2):
             copy = self.store.copy()
-            newest = self.configure(3)
+            self.configure(3)
             time.sleep(SETTLE_S)
-            return_from(self.store, copy)
-            rewrite_config(self.store, newest)
+            newest = return_from(self.store, copy)
+            rewrite_config(self.store, newest, copy)
             time.sleep(CONTACT_S)
         self.store.remove(f"servers/{left.id}")
         self.fleet.configure({"r1": route("/reads/", "reads", "unsafe", 2),
@@ -252,14 +250,13 @@
         copy = self.store.copy()
         for _ in range(lost):
             keyed.publish()
-        newest = self.store.items["op/config"]
         time.sleep(SETTLE_S)
         with KeyLoad(keyed, "revoked-key", self.fleet.nodes), \
                 KeyLoad(keyed, KEPT_KEY, self.fleet.nodes) as kept:
             begin = time.monotonic()
-            return_from(self.store, copy)
+            newest = return_from(self.store, copy)
             time.sleep(ENTRY_RETURN_S)
-            rewrite_config(self.store, newest)
+            rewrite_config(self.store, newest, copy)
             time.sleep(CONTACT_S)
             keyed.revoke("revoked-key")
             time.sleep(LIMIT_S + 2)
@@ -294,5 +291,108 @@
         self.assertEqual(kept.statuses(begin, time.monotonic()), {200})
 
 
+class LargeFleetReturn(unittest.TestCase):
+    """A copy 5 s old, at a fleet of 24 nodes of which one is frozen meanwhile
+    and all others are killed once afterwards."""
+
+    COPY_AGE_S = 5
+    REWRITE_S = 0.3       # from the return until all is written again
+    IN_FORCE_S = 2        # from then on until it is in force at all nodes
+    BACK_IN_FORCE_S = 3   # the same at a node that comes back
+    KILL_GAP_S = 0.25
+
+    def setUp(self):
+        self.fleet = PlatformFleet(nodes=24, servers=4,
+                                   bounds=KEYED_BOUNDS).__enter__()
+        self.addCleanup(self.fleet.stop)
+        self.store = self.fleet.store
+
+    def configure(self, keys, *prefixes):
+        named = {f"r{prefix}": route(prefix, "reads", "unsafe", 2)
+                 for prefix in ("/reads/", *prefixes)}
+        self.fleet.configure(
+            {**named, "orders": route("/orders/", "orders", "unsafe", 2)},
+            {f"tenant-{key}": {"api-keys": [key]} for key in keys})
+
+    def status(self, node, path, key):
+        return self.fleet.request(path, node, "POST", b"lot", key=key)[0]
+
+    def time_to_force(self, begin, nodes, prefix):
+        """How long after begin all nodes serve the route, in seconds."""
+        for node in nodes:
+            wait_for(lambda n=node: self.status(n, prefix + "1", KEPT_KEY)
+                     == 200, 10, f"{prefix} at {node}")
+        return round(time.monotonic() - begin, 2)
+
+    def change_for(self, seconds):
+        """Changes what the copy lacks."""
+        begin = time.monotonic()
+        self.configure([KEPT_KEY, "old-key"], "/first/")
+        self.fleet.register(self.added)
+        time.sleep(seconds / 2)
+        self.configure([KEPT_KEY], "/first/", "/added/")
+        self.store.remove(f"servers/{self.left.id}")
+        time.sleep(max(0, begin + seconds - AWAY_S - time.monotonic()))
+
+    # Guards against any difference between nodes that the return leaves behind.
+    def test_all_nodes_end_with_what_was_written_last(self):
+        *_, self.left = self.fleet.of_service("orders")
+        *_, self.added = self.fleet.of_service("reads")
+        self.store.remove(f"servers/{self.added.id}")
+        self.configure([KEPT_KEY, "old-key"])
+        *others, frozen = self.fleet.nodes
+        self.time_to_force(0, self.fleet.nodes, "/reads/")
+        copy = self.store.copy()
+        self.fleet.signal(frozen, signal.SIGSTOP)
+        self.change_for(self.COPY_AGE_S)
+        paths = ["/reads/1", "/orders/1", "/added/1"]
+        with Callers(self.fleet, paths, 4, KEPT_KEY) as callers, \
+                Callers(self.fleet, ["/reads/1"], 1, "old-key") as revoked:
+            begin = time.monotonic()
+            reads = self.store.whole_reads
+            newest = return_from(self.store, copy)
+            time.sleep(self.REWRITE_S)
+            self.store.write_again(newest, copy)
+            written = time.monotonic()
+            self.configure([KEPT_KEY], "/first/", "/added/", "/newest/")
+            in_force = self.time_to_force(written, others, "/newest/")
+            time.sleep(CONTACT_S)
+            reads = self.store.whole_reads - reads
+            watchers = sum("is a watcher" in self.fleet.log_of(node)
+                           for node in others)
+            self.fleet.signal(frozen, signal.SIGCONT)
+            back = self.time_to_force(time.monotonic(), [frozen], "/newest/")
+            calm = time.monotonic()
+            for node in others:
+                self.fleet.signal(node, signal.SIGKILL)
+                self.fleet.processes[node].wait()
+                self.fleet.start(node)
+                time.sleep(self.KILL_GAP_S)
+            for node in others:
+                self.fleet.await_ready(node)
+            time.sleep(CONTACT_S)
+            settled = time.monotonic()
+            time.sleep(1)
+        print(f"in force after {in_force} s, at the frozen node {back} s after "
+              f"its return; {reads} whole reads, {watchers} watchers so far",
+              flush=True)
+        self.assertLess(in_force, self.IN_FORCE_S)
+        self.assertLess(back, self.BACK_IN_FORCE_S)
+        # The frozen node rejects keys until its configuration is confirmed.
+        false = [one for one in callers.failed(begin)
+                 if begin + one[0] > settled or
+                 begin + one[0] < calm and one[1] != frozen]
+        self.assertEqual(false, [])
+        accepted = [one for one in revoked.results
+                    if one[0] > begin and one[3] not in (401, 503)]
+        self.assertEqual(accepted, [])
+        self.assertEqual([at for at, _ in self.left.arrival_times
+                          if at > begin], [])
+        self.time_to_force(0, self.fleet.nodes, "/newest/")
+        digests = {self.fleet.state(node)["gossip"]["records_digest"]
+                   for node in self.fleet.nodes}
+        self.assertEqual(len(digests), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -44,6 +44,7 @@
         self.old_revision = None  # reads return this state, if it is set
         self.era = 1              # header of all responses, if it is set
         self.calls = 0
+        self.whole_reads = 0
         store = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -91,20 +92,38 @@
     def copy(self):
         """All that the store holds, for return_from."""
         with self.changed:
-            return dict(self.items), list(self.events), self.revision
+            return (dict(self.items), list(self.events), self.revision,
+                    self.compacted)
 
     def go_away(self):
         self.set_mode("drop")
 
     def return_from(self, copy):
         """The store is back with the content of an older copy: what was written
-        since is lost, and its revisions are assigned again."""
+        since is lost, and its revisions are assigned again. Returns the items
+        that it had, for write_again."""
         with self.changed:
-            items, events, self.revision = copy
+            newest = self.items
+            items, events, self.revision, self.compacted = copy
             self.items, self.events = dict(items), list(events)
             self.era += 1
             self.mode = "up"
             self.changed.notify_all()
+        return newest
+
+    def write_again(self, newest, copy, prefix=""):
+        """The operator and the servers write again what the copy lacks, unless
+        they have written something newer; entries of departed servers lapse."""
+        copied = copy[0]
+        for key in sorted({**copied, **newest}):
+            if not key.startswith(prefix):
+                continue
+            if self.items.get(key) != copied.get(key):
+                continue
+            if key not in newest:
+                self.remove(key)
+            elif newest[key] != copied.get(key):
+                self.put_raw(key, newest[key]["value"])
 
     def set_mode(self, mode):
         with self.changed:
@@ -127,6 +146,8 @@
         if call.client_address[0] in self.rejected_addresses:
             self.send(call, 429, {})
         elif url.path == "/api/kv-range":
+            if not query.get("prefix") and not query.get("after"):
+                self.whole_reads += 1
             self.send(call, 200, self.range(query))
         elif url.path == "/api/kv-watch":
             self.watch(call, query)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -18,6 +18,9 @@
 CALLERS = 6
 #: A request sent later than this after a SIGTERM is answered before the exit.
 PLANNED_STOP_S = 3
+AWAY_S = 0.5          # of the store, before it returns from a copy
+REWRITE_S = 0.3       # from its return until all is written again
+MAX_COPY_STEPS = 7    # age of the copy, 4.9 s
 RECOVERY_S = 30       # limit for the fleet to serve all routes at the end
 NOT_RUN_STATUSES = (408, 421, 429, 503)  # the request was not executed
 BEHAVIOURS = ("normal", "hang", "shed", "reset", "unsealed", "error", "busy",
@@ -25,9 +28,15 @@
 
 
 class Soak:
-    def __init__(self, seed, steps, nodes):
+    def __init__(self, seed, steps, nodes, returns):
         self.rng = random.Random(seed)
         self.steps = steps
+        # Of its own, so that a seed has the same other faults without returns.
+        self.return_rng = random.Random(f"returns {seed}")
+        self.return_steps = sorted(
+            self.return_rng.sample(range(2, steps), returns))
+        self.copies = []  # of the store, one a step
+        self.returning = []  # threads
         self.fleet = PlatformFleet(nodes=nodes)
         self.stopping = threading.Event()
         self.lock = threading.Lock()
@@ -166,7 +175,24 @@
             self.add_route()
         return kind
 
+    def begin_return(self):
+        """Lets the store return from a copy while further faults begin."""
+        age = self.return_rng.randint(1, min(MAX_COPY_STEPS, len(self.copies)))
+        copy = self.copies[-age]
+
+        def return_and_rewrite():
+            self.fleet.store.go_away()
+            time.sleep(AWAY_S)
+            newest = self.fleet.store.return_from(copy)
+            time.sleep(REWRITE_S)
+            self.fleet.store.write_again(newest, copy)
+        thread = threading.Thread(target=return_and_rewrite, daemon=True)
+        thread.start()
+        self.returning.append(thread)
+
     def clear_faults(self):
+        for thread in self.returning:
+            thread.join()
         self.resume_all()
         self.fleet.store.rejected_addresses = set()
         self.fleet.store.set_mode("up")
@@ -243,7 +269,11 @@
             for caller in callers:
                 caller.start()
             kinds = []
-            for _ in range(self.steps):
+            for step in range(self.steps):
+                self.copies.append(self.fleet.store.copy())
+                if step in self.return_steps:
+                    self.begin_return()
+                    kinds.append("return")
                 kinds.append(self.inject_fault())
                 time.sleep(STEP_S)
             self.clear_faults()
@@ -265,10 +295,12 @@
                         help="number of consecutive seeds, from --seed on")
     parser.add_argument("--steps", type=int, default=14)
     parser.add_argument("--nodes", type=int, default=6)
+    parser.add_argument("--returns", type=int, default=0,
+                        help="how often the store returns from an older copy")
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
-        soak = Soak(seed, options.steps, options.nodes)
+        soak = Soak(seed, options.steps, options.nodes, options.returns)
         kinds = soak.run()
         served = sum(1 for response in soak.responses if response[2] == 200)
         print(f"seed {seed}: {len(soak.responses)} responses, {served} served, "
