Connections with unread requests are not closed as idle

Cause: whether a connection is idle was decided by the time of its last request. The thread that ends the process closes idle connections 3 s after SIGTERM; where the threads that read have no processor time, requests in the sockets were dropped with them.

Change: a connection with input is not idle. TcpConnection::stale becomes hasInput, which both uses need.

--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -176,7 +176,7 @@
   return this->write(Bytes, Deadline, Sent);
 }
 
-bool TcpConnection::stale() const {
+bool TcpConnection::hasInput() const {
   return !this->buffered().empty() ||
          isPending(this->descriptor(), POLLIN | POLLRDHUP);
 }
--- a/src/net/tcp_connection.h
+++ b/src/net/tcp_connection.h
@@ -56,9 +56,9 @@
   ConnectionResult<void> write(std::string_view Bytes, Instant Deadline,
                                std::size_t &Sent);
   ConnectionResult<void> write(std::string_view Bytes, Instant Deadline);
-  /// Whether an idle connection can't be reused: the peer has closed or reset
-  /// it, or has sent unexpected bytes.
-  [[nodiscard]] bool stale() const;
+  /// Whether bytes or the end of the stream wait to be read. An idle connection
+  /// to a target can't be reused then.
+  [[nodiscard]] bool hasInput() const;
   /// Whether the peer has closed or reset the connection.
   [[nodiscard]] bool peerGone() const;
   /// Frees the memory of the read buffer, if the buffer is empty.
--- a/src/node/callers/connection_server.cpp
+++ b/src/node/callers/connection_server.cpp
@@ -354,10 +354,12 @@
   if (Open.Current == State::Lingering)
     return Now - Open.Since >= config::LingerTimeout;
   const Duration Limit = Open.Handler->idleTimeout(this->Draining);
-  if (!this->Draining)
-    return Now - Open.Since >= Limit;
-  return Now - this->DrainStart >= Limit &&
-         Now - Open.Since >= config::DrainQuietTime;
+  const bool Idle = this->Draining
+                        ? Now - this->DrainStart >= Limit &&
+                              Now - Open.Since >= config::DrainQuietTime
+                        : Now - Open.Since >= Limit;
+  // Threads without processor time read a request long after it has arrived.
+  return Idle && !Open.Peer->hasInput();
 }
 
 void ConnectionServer::drain() {
--- a/src/node/targets/connection_pool.cpp
+++ b/src/node/targets/connection_pool.cpp
@@ -31,7 +31,8 @@
       Taken = std::move(this->Idle.back());
       this->Idle.pop_back();
     }
-    const bool Usable = !isExpired(*Taken, Now) && !Taken->Connection.stale();
+    const bool Usable =
+        !isExpired(*Taken, Now) && !Taken->Connection.hasInput();
     const std::lock_guard<std::mutex> Guard(this->Lock);
     if (Usable) {
       ++this->Counts.Reused;
--- a/src/node/targets/target_exchange.cpp
+++ b/src/node/targets/target_exchange.cpp
@@ -122,7 +122,7 @@
   TcpConnection &Connection = this->Pooled.Connection;
   while (!this->Params.Body->complete()) {
     // A target that responds early does not need the rest of the body.
-    if (Connection.stale())
+    if (Connection.hasInput())
       return {};
     const auto Part = this->Params.Body->next();
     if (!Part)
--- a/src/node/targets/target_exchange.h
+++ b/src/node/targets/target_exchange.h
@@ -63,7 +63,7 @@
   ExchangeResult<void> resume();
   /// Whether resume() would find a response or the end of the connection.
   [[nodiscard]] bool hasInput() const {
-    return this->Pooled.Connection.stale();
+    return this->Pooled.Connection.hasInput();
   }
   /// Reads the response body until it is complete or \p MaxBytes are buffered.
   ExchangeResult<void> bufferBody(std::size_t MaxBytes);
--- a/tests/unit/connection_server_test.cpp
+++ b/tests/unit/connection_server_test.cpp
@@ -1,11 +1,13 @@
 #include "net/boot_time.h"
 #include "node/callers/active_request.h"
 #include "node/callers/connection_server.h"
+#include "siskinstage/config.h"
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <algorithm>
 #include <atomic>
+#include <condition_variable>
 #include <functional>
 #include <gtest/gtest.h>
 #include <mutex>
@@ -165,5 +167,69 @@
   EXPECT_EQ(countAnswers(New), OtherCallers);
 }
 
+/// Holds the thread that reads a request until it is released, as on a node
+/// without processor time. Its connections may not be idle in a planned stop.
+class HoldingHandler : public OneByteHandler {
+public:
+  Next serve(TcpConnection &Peer, ServeTurn &Turn) override {
+    {
+      std::unique_lock<std::mutex> Guard(this->Lock);
+      ++this->Held;
+      this->Changed.notify_all();
+      this->Changed.wait(Guard, [this] { return this->Released; });
+    }
+    return OneByteHandler::serve(Peer, Turn);
+  }
+  [[nodiscard]] Duration idleTimeout(bool Draining) const override {
+    return Draining ? Millis::zero() : Millis(60'000);
+  }
+  void awaitHeld(int Threads) {
+    std::unique_lock<std::mutex> Guard(this->Lock);
+    this->Changed.wait(Guard, [&] { return this->Held >= Threads; });
+  }
+  void release() {
+    const std::lock_guard<std::mutex> Guard(this->Lock);
+    this->Released = true;
+    this->Changed.notify_all();
+  }
+
+private:
+  std::mutex Lock;
+  std::condition_variable Changed;
+  int Held = 0;
+  bool Released = false;
+};
+
+/// Guards against requests that a draining node does not answer, as it closes
+/// idle connections whose input no thread has read yet.
+TEST(ConnectionServerDrain, ConnectionsWithUnreadRequestsAreNotIdle) {
+  const auto Handler = std::make_shared<HoldingHandler>();
+  const Address Port = freeAddress();
+  ConnectionCounts Counts;
+  const auto Server = *ConnectionServer::start({1000, Threads}, Counts);
+  ASSERT_TRUE(Server->listen(Port, Handler));
+  auto Callers = connectCallers(Port, OtherCallers + Threads, "");
+  const Instant End = bootNow() + Millis(5'000);
+  while (Counts.Open.load() < Callers.size() && bootNow() < End)
+    std::this_thread::sleep_for(Millis(1));
+  for (std::size_t I = 0; I < Threads; ++I)
+    EXPECT_TRUE(Callers[I].write("b", bootNow() + Millis(1000)));
+  Handler->awaitHeld(Threads);
+  Server->drain();
+  for (std::size_t I = Threads; I < Callers.size(); ++I)
+    EXPECT_TRUE(Callers[I].write("b", bootNow() + Millis(1000)));
+  std::this_thread::sleep_for(config::DrainQuietTime + Millis(50));
+  Server->closeExpired();
+  Handler->release();
+  std::size_t Answered = 0;
+  while (Answered < Callers.size() && bootNow() < End)
+    Answered += readAnswers(Callers).size();
+  EXPECT_EQ(Answered, Callers.size());
+  // Without further input they are.
+  std::this_thread::sleep_for(config::DrainQuietTime + Millis(50));
+  Server->closeExpired();
+  EXPECT_EQ(Counts.Open.load(), 0U);
+}
+
 } // namespace
 } // namespace siskinstage
--- a/tests/unit/tcp_connection_test.cpp
+++ b/tests/unit/tcp_connection_test.cpp
@@ -91,7 +91,7 @@
   int Stale = 0;
   for (int I = 0; I < 2'000; ++I) {
     Gone += Pair.Near.peerGone() ? 1 : 0;
-    Stale += Pair.Near.stale() ? 1 : 0;
+    Stale += Pair.Near.hasInput() ? 1 : 0;
   }
   EXPECT_EQ(Gone, 0);
   EXPECT_EQ(Stale, 0);
--- a/tools/siskinload/load_worker.cpp
+++ b/tools/siskinload/load_worker.cpp
@@ -166,7 +166,7 @@
                                           const std::string &Body) {
   const Instant Deadline = bootNow() + this->Options.Deadline + ResponseGrace;
   std::unique_ptr<TcpConnection> &Connection = this->Connections[Endpoint];
-  if (Connection && Connection->stale())
+  if (Connection && Connection->hasInput())
     Connection.reset();
   if (!Connection) {
     auto Connected = TcpConnection::connect(Endpoint, Deadline);
