--- a/include/siskinstage/error.h
+++ b/include/siskinstage/error.h
@@ -34,6 +34,8 @@
   Step FailedStep = Step::Settings;
   std::string Peer;   ///< Address or record name; may be empty.
   std::string Reason; ///< One sentence without a full stop.
+  /// The peer's message is longer than this node accepts.
+  bool TooLong = false;
 
   /// "step peer: reason", for logs and terminals.
   [[nodiscard]] std::string text() const;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -3,6 +3,13 @@
 
 namespace siskinstage {
 
+namespace {
+
+/// Status of the refusal of a body beyond the limit, see readWholeBody().
+constexpr int BodyTooLong = 413;
+
+} // namespace
+
 ReadResult<HttpResponse> exchange(TcpConnection &Connection,
                                   const Poco::Net::HTTPRequest &Request,
                                   const std::string &Body, std::size_t MaxBytes,
@@ -40,10 +47,12 @@
       Request.getMethod() == "PUT")
     Request.setContentLength64(static_cast<Poco::Int64>(Body.size()));
   auto Response = exchange(*Connection, Request, Body, MaxBytes, Deadline);
-  if (!Response)
-    return fail(Step::ReadResponse, Endpoint.str(),
-                readFaultText(Response.error()));
-  return std::move(*Response);
+  if (Response)
+    return std::move(*Response);
+  const auto *Refused = std::get_if<HttpRefusal>(&Response.error());
+  const bool TooLong = Refused != nullptr && Refused->Status == BodyTooLong;
+  return tl::unexpected(Error{Step::ReadResponse, Endpoint.str(),
+                              readFaultText(Response.error()), TooLong});
 }
 
 Result<HttpResponse> getOnNewConnection(const Address &Endpoint,
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -16,7 +16,8 @@
 
 /// Sends one request on a new connection and reads the complete response.
 /// \param Body sent with its length; may be empty.
-/// \param MaxBytes a response with a longer body is an error.
+/// \param MaxBytes a response with a longer body is an error, with
+///                 Error::TooLong set.
 Result<HttpResponse> sendOnNewConnection(const Address &Endpoint,
                                          Poco::Net::HTTPRequest Request,
                                          const std::string &Body,
