Connections to targets that are gone or long idle are closed

Cause: idle connections to a target past their limit were closed when one was taken from the pool, which never happens at a target that is gone, or by the prober, which the users' deployments don't start.

Change: the pool of a target that is removed, or replaced by another process, is emptied and keeps no connection until it is used again. The decision thread closes connections past their limits in all pools every 5 s.

--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -63,6 +63,9 @@
 inline constexpr int MaxConnectFailures = 4;
 inline constexpr std::chrono::milliseconds TargetIdleLimit = 15s;
 inline constexpr std::chrono::milliseconds TargetAgeLimit = 300s;
+/// How often connections past these limits are closed: a fraction of the idle
+/// limit.
+inline constexpr std::chrono::milliseconds TargetSweepPeriod = 5s;
 /// Maximum idle time of a pooled connection that carries a request which must
 /// not run twice: a connection that carried a response within this time is
 /// known to be alive.
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -25,6 +25,7 @@
     this->processUpdates();
     this->processObservations();
     const bool Decided = this->Services.decideAll(bootNow());
+    this->Services.expireConnections(bootNow());
     const bool Readied =
         this->Readiness.update(this->records(), bootNow(), this->NextSnapshot);
     this->SnapshotChanged = this->SnapshotChanged || Decided || Readied;
--- a/src/node/targets/connection_pool.cpp
+++ b/src/node/targets/connection_pool.cpp
@@ -25,6 +25,7 @@
     std::optional<PooledConnection> Taken;
     {
       const std::lock_guard<std::mutex> Guard(this->Lock);
+      this->Retired = false;
       // The connection used last is the least likely to have been closed.
       if (this->Idle.empty() || Now - this->Idle.back().LastResponse >= MaxIdle)
         break;
@@ -54,6 +55,10 @@
   Returned.LastResponse = bootNow();
   Returned.Connection.shrink();
   const std::lock_guard<std::mutex> Guard(this->Lock);
+  if (this->Retired) {
+    ++this->Counts.Dropped;
+    return;
+  }
   this->Idle.push_back(std::move(Returned));
   if (this->Idle.size() <= config::MaxConnectionsPerTarget)
     return;
@@ -67,6 +72,12 @@
   this->Idle.clear();
 }
 
+void ConnectionPool::retire() {
+  this->clear();
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  this->Retired = true;
+}
+
 void ConnectionPool::expire(Instant Now) {
   const std::lock_guard<std::mutex> Guard(this->Lock);
   const auto Expired = std::remove_if(
--- a/src/node/targets/connection_pool.h
+++ b/src/node/targets/connection_pool.h
@@ -41,6 +41,9 @@
   void put(PooledConnection Returned);
   /// Closes every idle connection.
   void clear();
+  /// Closes every idle connection, and those that requests in flight return:
+  /// the target is gone. The next take() ends this.
+  void retire();
   /// Closes idle connections that have reached config::TargetIdleLimit or
   /// config::TargetAgeLimit.
   void expire(Instant Now);
@@ -50,6 +53,7 @@
 private:
   std::mutex Lock;
   std::vector<PooledConnection> Idle;
+  bool Retired = false;
   Stats Counts;
 };
 
--- a/src/node/targets/service_states.cpp
+++ b/src/node/targets/service_states.cpp
@@ -70,11 +70,32 @@
 void ServiceStates::removeTarget(const TargetRecord &Old) {
   this->TargetSpecs[Old.Service].erase(Old.Spec.Id);
   this->StaleServices.insert(Old.Service);
+  this->ReplacedTargets.push_back(Old);
 }
 
 void ServiceStates::assembleStale() {
   for (const ServiceName &Name : std::exchange(this->StaleServices, {}))
     this->assembleService(Name);
+  for (const TargetRecord &Old : std::exchange(this->ReplacedTargets, {}))
+    this->retireIfGone(Old);
+}
+
+void ServiceStates::retireIfGone(const TargetRecord &Old) {
+  const auto &Specs = this->TargetSpecs[Old.Service];
+  const auto Current = Specs.find(Old.Spec.Id);
+  const bool Gone = Current == Specs.end() ||
+                    Current->second.Endpoint != Old.Spec.Endpoint ||
+                    Current->second.Process != Old.Spec.Process;
+  if (Gone)
+    this->getGauge(Old.Spec)->Pool.retire();
+}
+
+void ServiceStates::expireConnections(Instant Now) {
+  if (Now < this->NextExpiry)
+    return;
+  this->NextExpiry = Now + config::TargetSweepPeriod;
+  for (const auto &[Key, Gauge] : this->Gauges)
+    Gauge->Pool.expire(Now);
 }
 
 void ServiceStates::setLeaving(std::set<Address> Leaving) {
--- a/src/node/targets/service_states.h
+++ b/src/node/targets/service_states.h
@@ -36,6 +36,9 @@
   void setTarget(const TargetRecord &New);
   void removeTarget(const TargetRecord &Old);
   void assembleStale();
+  /// Closes connections to targets that have been idle for too long, every
+  /// config::TargetSweepPeriod.
+  void expireConnections(Instant Now);
   /// \param Leaving targets that the instance list reports as leaving.
   void setLeaving(std::set<Address> Leaving);
   /// Applies a change of the live nodes and entry nodes of the snapshot.
@@ -84,6 +87,9 @@
   std::set<Address> LeavingTargets;
   /// Services whose TargetSpecs changed since the last assembleService().
   std::set<ServiceName> StaleServices;
+  /// Targets whose records were replaced or deleted since then.
+  std::vector<TargetRecord> ReplacedTargets;
+  Instant NextExpiry; ///< See expireConnections().
 
   /// Adds the targets that have records of their own to the service's record.
   void assembleService(const ServiceName &Name);
@@ -108,6 +114,8 @@
   void countEjection(const ServiceName &Name, const TargetVerdict &Verdict);
   void rebuildServiceView(const ServiceName &Name, const ServiceState &Service);
   std::shared_ptr<TargetGauge> getGauge(const TargetSpec &Spec);
+  /// Closes the idle connections to \p Old if it is gone.
+  void retireIfGone(const TargetRecord &Old);
   [[nodiscard]] const ServiceRecord *
   findServiceRecord(const ServiceName &Name) const;
 };
--- a/tests/integration/test_connections.py
+++ b/tests/integration/test_connections.py
@@ -1,12 +1,15 @@
 """Tests how many threads a node uses for connections, and when it closes idle
 connections."""
 
+import concurrent.futures
 import pathlib
 import signal
 import socket
+import struct
 import time
 import unittest
 
+from fleet import wait_for
 from platform_fleet import FRONT, HOST, PlatformFleet, fetch
 
 IDLE_CONNECTIONS = 1000
@@ -14,6 +17,10 @@
 MAX_THREADS_WITH_CONNECTIONS = 24
 #: A draining node closes a connection that has been idle for this time.
 DRAIN_IDLE_S = 3
+#: A connection to a target is closed after this idle time, at the next sweep.
+TARGET_IDLE_S = 15
+TARGET_SWEEP_S = 5
+OPEN_STATES = ("01", "08")  # established, and closed by the peer alone
 
 
 def thread_count(process):
@@ -28,6 +35,47 @@
     return peer.recv(4096)
 
 
+def connections_to(servers):
+    """The number of open connections to the servers' ports."""
+    remote = {f"{struct.unpack('<I', socket.inet_aton(host))[0]:08X}:{port:04X}"
+              for host, port in (server.address for server in servers)}
+    lines = pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]
+    return sum(fields[2] in remote and fields[3] in OPEN_STATES
+               for fields in map(str.split, lines))
+
+
+class TargetConnections(unittest.TestCase):
+    """Guards against a node that uses up its descriptors for idle connections
+    to targets, and then takes no connection any more."""
+
+    def use_all_slots(self, fleet):
+        servers = fleet.of_service("reads")
+        for server in servers:
+            server.work_s = 0.3
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            for result in [pool.submit(fleet.request, "/reads/1")
+                           for _ in range(24)]:
+                self.assertEqual(result.result()[0], 200)
+        self.assertGreater(connections_to(servers), len(servers))
+        return servers
+
+    def test_connections_to_targets_that_are_gone_are_closed(self):
+        with PlatformFleet(nodes=1, servers=3, services=("reads",)) as fleet:
+            *gone, kept = self.use_all_slots(fleet)
+            for server in gone:
+                fleet.store.remove(f"servers/{server.id}")
+            wait_for(lambda: connections_to(gone) == 0, 5,
+                     "connections to targets that are gone are closed")
+            self.assertGreater(connections_to([kept]), 0)
+
+    def test_connections_that_are_idle_for_long_are_closed(self):
+        with PlatformFleet(nodes=1, servers=2, services=("reads",)) as fleet:
+            servers = self.use_all_slots(fleet)
+            wait_for(lambda: connections_to(servers) == 0,
+                     TARGET_IDLE_S + TARGET_SWEEP_S + 2,
+                     "idle connections to targets are closed")
+
+
 class Connections(unittest.TestCase):
     def test_an_idle_node_has_few_threads(self):
         with PlatformFleet(nodes=2, servers=1) as fleet:
