A failure of a target does not lift the quarantine of a request

Cause: each response of a target that ran a request forgot its crashes and excused it for a minute or two. A target that fails a part of its requests may answer 500 without having begun to run them.

Change: only a response below 500 shows that a request is harmless.

Test: test_quarantine.GrayTargets; on the program of six of six sendings ran where two are allowed, two now. A second case, that a served request is never refused, passes on both.

--- a/src/core/requests/quarantine.h
+++ b/src/core/requests/quarantine.h
@@ -19,7 +19,7 @@
 
 /// Tracks requests during which targets crashed. A request during which several
 /// targets crashed is rejected: the request is at fault and not the targets.
-/// One that got a response recently is not suspected: it was merely in flight
+/// One that a target served recently is not suspected: it was merely in flight
 /// when its target crashed.
 class Quarantine {
 public:
@@ -27,7 +27,7 @@
   /// \returns true if this crash is new.
   bool addCrash(RequestFingerprint Fingerprint, const TargetId &Target,
                 Instant Now);
-  /// Records that a target responded to the request.
+  /// Records that a target ran the request and responded without a failure.
   void addResponse(RequestFingerprint Fingerprint, Instant Now);
   [[nodiscard]] bool isQuarantined(RequestFingerprint Fingerprint,
                                    Instant Now) const;
--- a/src/node/requests/dispatch_records.cpp
+++ b/src/node/requests/dispatch_records.cpp
@@ -154,7 +154,8 @@
     this->Params.Service->Gate->observeWork(
         this->Params.Limits.Route, Elapsed,
         this->Params.Body->replayBuffer().size());
-  if (!Exchange.isNotRun())
+  // A target that fails may not have begun to run the request.
+  if (!Exchange.isNotRun() && Exchange.response().Status < 500)
     this->Context.RequestQuarantine.addResponse(this->RequestHash, bootNow());
   if (Exchange.isNotRun())
     this->observe(Target, Evidence::Shed, Elapsed);
--- a/tests/integration/test_quarantine.py
+++ b/tests/integration/test_quarantine.py
@@ -59,5 +59,38 @@
         self.assertEqual(set(statuses[CRASHES_TO_QUARANTINE:]), {503})
 
 
+class GrayTargets(unittest.TestCase):
+    # Guards against a request that crashes targets without end, as a target that
+    # fails its requests without running them has answered it with a 500.
+    def test_a_failure_of_a_target_shows_no_harmless_request(self):
+        with PlatformFleet(nodes=2, servers=4) as fleet:
+            servers = fleet.of_service("orders")
+            self.assertEqual(self.send(fleet, "error", servers), 500)
+            statuses = [self.send(fleet, "reset", servers)
+                        for _ in range(SENDINGS)]
+            runs = sum(len(server.runs) for server in servers) - 1
+            self.assertEqual(runs, CRASHES_TO_QUARANTINE, statuses)
+            self.assertEqual(set(statuses[CRASHES_TO_QUARANTINE:]), {503})
+
+    # Guards against a harmless request that is refused, as it was in flight when
+    # targets crashed.
+    def test_a_request_that_was_served_is_not_refused(self):
+        with PlatformFleet(nodes=2, servers=4) as fleet:
+            servers = fleet.of_service("orders")
+            self.assertEqual(self.send(fleet, "normal", servers), 200)
+            for _ in range(SENDINGS):
+                self.send(fleet, "reset", servers)
+            runs = sum(len(server.runs) for server in servers) - 1
+            self.assertEqual(runs, SENDINGS)
+
+    @staticmethod
+    def send(fleet, behaviour, servers):
+        """Sends one and the same order to servers that behave so; returns its
+        status."""
+        for server in servers:
+            server.behaviour = behaviour
+        return fleet.request("/orders/1", method="POST", body=b"lot")[0]
+
+
 if __name__ == "__main__":
     unittest.main()
