A watcher that sees a new epoch after its peers keeps missing entries too

Callers lost a live server for 1.3 s after a return of the store that no call noticed: another watcher's records with the new epoch arrived before this watcher's own read, which then saw no change of the epoch, began no grace time, and deleted what the copy lacks.

--- a/src/core/records/history_order.h
+++ b/src/core/records/history_order.h
@@ -32,8 +32,7 @@
 
 /// The revision of a tombstone for a record that was deleted at \p Position.
 /// \param Last the writer's version of the record; a copy of the record is
-/// older
-///             than the tombstone in any epoch.
+///             older than the tombstone in any epoch.
 Revision deletedRevision(const Revision &Position, WriterVersion Last);
 
 } // namespace siskinstage
--- a/tests/integration/test_store_return.py
+++ b/tests/integration/test_store_return.py
@@ -190,6 +190,28 @@
         gaps = [later - earlier for earlier, later in zip(times, times[1:])]
         self.assertLess(max(gaps), 1)
 
+    # Guards against nodes that delete what the copy lacks, as no call failed and
+    # another watcher's records already have the new epoch.
+    def test_a_return_that_is_noticed_by_the_epoch_alone(self):
+        added = self.fleet.of_service("reads")[2]
+        self.store.remove(f"servers/{added.id}")
+        time.sleep(SETTLE_S)
+        copy = self.store.copy()
+        self.fleet.register(added)
+        time.sleep(SETTLE_S)
+        with Callers(self.fleet, ["/reads/1"], 6):
+            time.sleep(SETTLE_S)
+            begin = time.monotonic()
+            self.store.return_from(copy)
+            time.sleep(ENTRY_RETURN_S * 0.75)
+            self.fleet.register(added)
+            time.sleep(SETTLE_S)
+        times = self.runs_since(added, begin)
+        self.assertGreater(len(times), 0)
+        gaps = [later - earlier
+                for earlier, later in zip([0, *times], times)]
+        self.assertLess(max(gaps), 0.5)
+
     # Guards against a server that did not come back and is used for ever.
     def test_a_server_that_is_not_registered_again_is_gone(self):
         lost = self.fleet.of_service("orders")[0]
