Test fleets can run beside each other on networks of their own

Cause: all runs of the platform fleet use the same loopback addresses, so that two of them at once fail to bind.

Change: SISKINSTAGE_TEST_NETWORK gives the first two octets; the default is as before.

--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -12,7 +12,7 @@
 import tomllib
 
 from fleet import BUILD, ROOT, wait_for
-from platform_standins import STORE_ADDRESS, Server, Store
+from platform_standins import NETWORK, STORE_ADDRESS, Server, Store
 
 FRONT, READY, CONTROL, DIRECTORY, OPERATOR = 18500, 18501, 18502, 18503, 18504
 DOMAINS = ("za", "zb")
@@ -90,7 +90,7 @@
         self.servers = [
             Server(i, services[i % len(services)], DOMAINS[i // 2 % 2])
             for i in range(servers * len(services))]
-        self.nodes = [f"127.0.1.{i + 1}" for i in range(nodes)]
+        self.nodes = [f"{NETWORK}.1.{i + 1}" for i in range(nodes)]
         self.version = 5
         self.services = services
         self.node_flags = node_flags
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -4,12 +4,16 @@
 import base64
 import http.server
 import json
+import os
 import socket
 import threading
 import time
 import urllib.parse
 
-STORE_ADDRESS = ("127.0.2.1", 18600)
+#: First two octets of all addresses; test runs with different ones can run
+#: beside each other.
+NETWORK = os.environ.get("SISKINSTAGE_TEST_NETWORK", "127.0")
+STORE_ADDRESS = (f"{NETWORK}.2.1", 18600)
 
 
 class Listener(http.server.ThreadingHTTPServer):
@@ -230,7 +234,7 @@
         self.id = f"i-{service}-{index}"
         self.service = service
         self.zone = zone
-        self.address = ("127.0.3.1", 18700 + index)
+        self.address = (f"{NETWORK}.3.1", 18700 + index)
         self.work_s = 0.02
         self.born = 1700000000000  # start of its process, in milliseconds
         self.seq = 0               # number of its writes to the store
