Missing entries are kept for one grace time, whoever notices an outage

Callers saw requests at targets whose entries the store had removed, until 5 s after the store's return from an older copy, and until 10.9 s after it while one watcher was cut off.

Cause: one flag told both that a node can't read the platform and that entries may be missing. A node that noticed the return reported itself as unable to read, and so was no watcher any more; the next ones noticed it, reported and stepped down in their turn; each began a grace time of its own, and as long as any watcher reported, all others postponed what they conclude from missing entries.

Change: RemovalGrace decides it without I/O. A node that reads without a failure sees for itself that the platform is there, so reports of others prolong its grace time to 2.2 s after its reads began at most. Noticing a return is no report of an unreachable platform any more; when it was first noticed travels with gossip for 30 s, and the grace time counts from there at all nodes.

--- a/include/siskinstage/fleet_config.h
+++ b/include/siskinstage/fleet_config.h
@@ -72,6 +72,11 @@
 /// least one datagram.
 inline constexpr std::chrono::milliseconds GossipSilenceTimeout = 1200ms;
 
+/// For this long after the platform has returned from an older copy, messages
+/// tell when that was noticed, so that a node which was cut off or frozen
+/// meanwhile learns it.
+inline constexpr std::chrono::milliseconds EpochNoticeTime = 30s;
+
 // Distribution of configuration between nodes.
 /// Nodes of each failure domain that read the platform in a fleet of up to
 /// SmallFleetNodes nodes; in a larger fleet, one node of each domain does.
--- a/src/core/fleet/gossip_codec.cpp
+++ b/src/core/fleet/gossip_codec.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t MaxNameBytes = 200;
 constexpr std::size_t MaxUpdates = 64;
 /// No machine runs longer without a restart; larger values would overflow.
-constexpr Millis MaxViewAge = std::chrono::years(100);
+constexpr Millis MaxAge = std::chrono::years(100);
 /// The first version has no capacity and no flag for an unreachable platform.
 constexpr Json::ArrayIndex FirstVersionMemberFields = 7;
 constexpr Json::ArrayIndex MemberFields = 9;
@@ -209,7 +209,7 @@
   if (!Value.isMember("a"))
     return Response;
   if (!Value["a"].isInt64() || Value["a"].asInt64() < 0 ||
-      Value["a"].asInt64() > MaxViewAge.count())
+      Value["a"].asInt64() > MaxAge.count())
     return malformed("a");
   Response.Age = Millis(Value["a"].asInt64());
   return Response;
@@ -251,6 +251,24 @@
   return PingRequest{Sequence, Address(Value["t"].asString())};
 }
 
+Json::Value encodeNotice(const EpochNotice &Notice) {
+  Json::Value Value(Json::arrayValue);
+  Value.append(toJson(Notice.Epoch.Value));
+  Value.append(toJson(static_cast<std::uint64_t>(
+      std::chrono::duration_cast<Millis>(Notice.Age).count())));
+  return Value;
+}
+
+/// \returns nothing if \p Value is malformed.
+std::optional<EpochNotice> decodeNotice(const Json::Value &Value) {
+  if (!Value.isArray() || Value.size() != 2 || !Value[0].isUInt64() ||
+      Value[0].asUInt64() > MaxHistoryEpoch || !Value[1].isUInt64() ||
+      Value[1].asUInt64() > static_cast<std::uint64_t>(MaxAge.count()))
+    return std::nullopt;
+  return EpochNotice{{Value[0].asUInt64()},
+                     Millis(static_cast<Millis::rep>(Value[1].asUInt64()))};
+}
+
 } // namespace
 
 Json::Value encodeMember(const Member &Node) {
@@ -305,6 +323,8 @@
   }
   Value["d"] = toJson(Message.RecordsDigest);
   Value["m"] = toJson(Message.MembersDigest);
+  if (Message.Epoch)
+    Value["e"] = encodeNotice(*Message.Epoch);
   return Value;
 }
 
@@ -333,6 +353,11 @@
     return malformed("digest");
   Message.RecordsDigest = Value["d"].asUInt64();
   Message.MembersDigest = Value["m"].asUInt64();
+  if (Value.isMember("e")) {
+    Message.Epoch = decodeNotice(Value["e"]);
+    if (!Message.Epoch)
+      return malformed("e");
+  }
   return Message;
 }
 
--- a/src/core/fleet/gossip_message.h
+++ b/src/core/fleet/gossip_message.h
@@ -2,6 +2,7 @@
 #define SISKINSTAGE_CORE_FLEET_GOSSIP_MESSAGE_H
 
 #include "core/fleet/member.h"
+#include "core/records/history_start.h"
 #include "core/requests/quarantine.h"
 #include "core/requests/quota_message.h"
 #include "core/targets/rate_limit.h"
@@ -109,6 +110,8 @@
   std::vector<Member> Updates;     ///< About members, in a bounded number.
   std::uint64_t RecordsDigest = 0; ///< Of all records in force at the sender.
   std::uint64_t MembersDigest = 0; ///< Of all live members at the sender.
+  /// Set for a time after the platform has returned from an older copy.
+  std::optional<EpochNotice> Epoch;
 };
 
 /// A message with its destination.
--- /dev/null
+++ b/src/core/records/removal_grace.cpp
@@ -0,0 +1,29 @@
+#include "core/records/removal_grace.h"
+
+#include <algorithm>
+
+namespace siskinstage {
+
+void RemovalGrace::beginReading(Instant Now) { this->ReadingSince = Now; }
+
+void RemovalGrace::noteFailure(Instant Now) {
+  this->ReadingSince = Now;
+  this->prolong(Now + this->Length, Now);
+}
+
+bool RemovalGrace::noteReportedOutage(Instant Now) {
+  return this->prolong(this->ReadingSince + this->Length, Now);
+}
+
+bool RemovalGrace::noteReturn(Instant Noticed, Instant Now) {
+  return this->prolong(Noticed + this->Length, Now);
+}
+
+bool RemovalGrace::prolong(Instant Until, Instant Now) {
+  const bool Longer = Until > std::max(this->End, Now);
+  if (Longer)
+    this->End = Until;
+  return Longer;
+}
+
+} // namespace siskinstage
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -1,7 +1,6 @@
 #include "node/decision_loop.h"
 #include "core/requests/account_directory.h"
 #include "net/boot_time.h"
-#include "node/fleet/watcher_role.h"
 #include "node/node_context.h"
 #include "siskinstage/config.h"
 
@@ -10,6 +9,14 @@
 
 namespace siskinstage {
 
+namespace {
+
+std::string sourceName(const FailureDomain &From) {
+  return From.empty() ? "platform" : "node of " + From.str();
+}
+
+} // namespace
+
 DecisionLoop::DecisionLoop(NodeContext &Context)
     : Context(Context), NextSnapshot(*Context.Snapshots.get()),
       Services(Context, NextSnapshot),
@@ -85,7 +92,9 @@
     this->removeRecord(*Old);
   this->applyRecord(New);
   logEvent(LogLevel::Info, "record " + New.Key.text() + " applied",
-           {{"revision", std::to_string(New.Rev.Value)}});
+           {{"revision", std::to_string(New.Rev.Value)},
+            {"epoch", std::to_string(New.Rev.Epoch.Value)},
+            {"source", sourceName(From)}});
   this->broadcastRecord(New, From);
 }
 
@@ -97,20 +106,18 @@
   this->SnapshotChanged = true;
   if (Before.Epoch == HistoryEpoch{})
     return; // The first record of the platform.
+  this->Context.PlatformHistory.note(After.Epoch, bootNow());
   logEvent(LogLevel::Info, "the platform's history has a new epoch",
            {{"epoch_before", std::to_string(Before.Epoch.Value)},
             {"epoch", std::to_string(After.Epoch.Value)},
             {"revision_before", std::to_string(Before.Value)},
             {"revision", std::to_string(After.Value)},
             {"record", New.Key.text()},
-            {"source", From.empty() ? "platform" : "node of " + From.str()},
+            {"source", sourceName(From)},
             {"records", std::to_string(this->records().all().size())}});
 }
 
 std::optional<Record> DecisionLoop::findDeletion(const Record &New) const {
-  // Records of live targets may be missing until the targets register again.
-  if (isOutageReported(this->Context))
-    return std::nullopt;
   auto Deletion = this->Lists.deletionOf(New, this->records());
   if (Deletion)
     logEvent(LogLevel::Info,
--- a/src/node/fleet/gossip_loop.cpp
+++ b/src/node/fleet/gossip_loop.cpp
@@ -128,6 +128,9 @@
   if (Message->From.Endpoint == this->Members.self().Endpoint)
     return;
   this->Context.LastGossip.store(bootNow().time_since_epoch().count());
+  if (Message->Epoch)
+    this->Context.PlatformHistory.note(Message->Epoch->Epoch,
+                                       bootNow() - Message->Epoch->Age);
   this->handle(*Message);
 }
 
@@ -311,6 +314,8 @@
   Message.RecordsDigest = this->Context.Snapshots.get()->HasPlatformRecords
                               ? this->Context.Records.digest()
                               : NoRecordsDigest;
+  Message.Epoch =
+      this->Context.PlatformHistory.notice(bootNow(), config::EpochNoticeTime);
   std::string Datagram =
       this->Seal.seal(gossipNotification(encodeGossip(Message)), wallClockMs());
   // Membership updates are dropped until a message with a long record fits.
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -12,6 +12,7 @@
 #include "node/operators/metrics.h"
 #include "node/pipe_wakeup.h"
 #include "node/records/config_update.h"
+#include "node/records/shared_history_start.h"
 #include "node/records/shared_records.h"
 #include "node/records/sync_queue.h"
 #include "node/requests/account_gate.h"
@@ -52,6 +53,7 @@
   Wakeup SyncWakeup;
   PipeWakeup GossipWakeup;
   SharedRecords Records;
+  SharedHistoryStart PlatformHistory;
   std::atomic<std::shared_ptr<const MembershipView>> Members;
   GossipTraffic Traffic;
   SharedConfirmedView ConfigView;
--- a/tests/unit/gossip_test.cpp
+++ b/tests/unit/gossip_test.cpp
@@ -1,5 +1,6 @@
 #include "core/fleet/gossip_codec.h"
 #include "core/fleet/gossip_seal.h"
+#include "core/records/revision_codec.h"
 #include "net/json_rpc.h"
 #include "siskinstage/config.h"
 
@@ -138,6 +139,25 @@
   EXPECT_FALSE(decodeGossip(Endless));
 }
 
+/// Guards against an epoch out of range that hides all later returns.
+TEST(GossipCodec, RefusesMalformedNoticesOfEpochs) {
+  GossipMessage Message = sample(Ping{1});
+  Message.Epoch = EpochNotice{{MaxHistoryEpoch}, Millis(250)};
+  const Json::Value Valid = encodeGossip(Message);
+  const auto Decoded = decodeGossip(Valid);
+  ASSERT_TRUE(Decoded) << Decoded.error().text();
+  ASSERT_TRUE(Decoded->Epoch);
+  EXPECT_EQ(Decoded->Epoch->Epoch, HistoryEpoch{MaxHistoryEpoch});
+  EXPECT_EQ(Decoded->Epoch->Age, Millis(250));
+  for (const Json::ArrayIndex Field : {0U, 1U})
+    for (const Json::Value &Wrong :
+         {Json::Value(-1), Json::Value("2"), Json::Value(1e18)}) {
+      Json::Value Invalid = Valid;
+      Invalid["e"][Field] = Wrong;
+      EXPECT_FALSE(decodeGossip(Invalid)) << Field << Wrong.asString();
+    }
+}
+
 TEST(GossipCodec, AFullMessageFitsIntoADatagram) {
   GossipMessage Message = sample(Ping{1ULL << 40U});
   Message.Updates.assign(config::GossipUpdatesPerMessage + 1,
