--- a/src/core/records/removal_grace.cpp
+++ b/src/core/records/removal_grace.cpp
@@ -6,6 +6,10 @@
 
 void RemovalGrace::beginReading(Instant Now) { this->ReadingSince = Now; }
 
+void RemovalGrace::hold(Instant Until) {
+  this->End = std::max(this->End, Until);
+}
+
 void RemovalGrace::noteFailure(Instant Now) {
   this->ReadingSince = Now;
   this->prolong(Now + this->Length, Now);
--- a/src/core/records/removal_grace.h
+++ b/src/core/records/removal_grace.h
@@ -22,6 +22,8 @@
 
   /// Notes that this node begins to read, and knows nothing of the time before.
   void beginReading(Instant Now);
+  /// Lasts at least until \p Until: this node may not have heard of an outage.
+  void hold(Instant Until);
   /// Notes that a read failed.
   void noteFailure(Instant Now);
   /// Notes that another node can't read the platform, or could not a moment
