The store of the tests turns the right nodes away

Nodes connect to the store's loopback address from 127.0.0.1, so that a node in rejected_addresses was never turned away: no node logged a status 429 in test_a_watcher_that_notices_the_return_seconds_later, and all noticed the return within 0.8 s. Each node now has its own address of the store.

--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -13,7 +13,7 @@
 #: First two octets of all addresses; test runs with different ones can run
 #: beside each other.
 NETWORK = os.environ.get("SISKINSTAGE_TEST_NETWORK", "127.0")
-STORE_ADDRESS = (f"{NETWORK}.2.1", 18600)
+STORE_PORT = 18600
 
 
 class Listener(http.server.ThreadingHTTPServer):
@@ -60,11 +60,22 @@
             def log_message(self, *_):
                 pass
 
-        self.listener = serve(STORE_ADDRESS, Handler)
+        self.handler = Handler
+        self.listeners = {}
+
+    def address_for(self, node):
+        """The store's address for a node. Each has its own, by which a call's
+        node is known: all connections come from the same loopback address."""
+        address = (f"{NETWORK}.2.{node.rsplit('.', 1)[-1]}", STORE_PORT)
+        if address not in self.listeners:
+            self.listeners[address] = serve(address, self.handler)
+            self.listeners[address].node = node
+        return address
 
     def stop(self):
-        self.listener.shutdown()
-        self.listener.server_close()
+        for listener in self.listeners.values():
+            listener.shutdown()
+            listener.server_close()
 
     def put(self, key, value):
         raw = value if isinstance(value, bytes) else json.dumps(value).encode()
@@ -147,7 +158,7 @@
             elif self.mode == "endless":
                 self.send_endless(call)
             return
-        if call.client_address[0] in self.rejected_addresses:
+        if call.server.node in self.rejected_addresses:
             self.send(call, 429, {})
         elif url.path == "/api/kv-range":
             if not query.get("prefix") and not query.get("after"):
