After a failed read, missing entries are kept from the first read that succeeds

Callers saw live targets unused for 0.6 to 0.7 s, 1.3 s after the store's return from an outage, if their servers wrote their entries again 1.9 s after it, in the time that the platform states.

Cause: the grace time counted from the last read that had failed. While the store is away a node tries once a second, so that this may be a second before the store's return.

Change: it counts from the first read that succeeds after a failure. What a node saw fail does not count when it reads again later.

--- a/src/core/records/removal_grace.h
+++ b/src/core/records/removal_grace.h
@@ -26,6 +26,9 @@
   void hold(Instant Until);
   /// Notes that a read failed.
   void noteFailure(Instant Now);
+  /// Notes that a read ended without a failure. After a failure the platform
+  /// may have returned as late as this.
+  void noteSuccess(Instant Now);
   /// Notes that another node can't read the platform, or could not a moment
   /// ago. \returns whether the grace time is longer than before.
   bool noteReportedOutage(Instant Now);
@@ -44,6 +47,7 @@
   Instant End;
   /// Since then, no read of this node has failed.
   Instant ReadingSince;
+  bool Failing = false; ///< The last read failed.
 
   /// \returns whether the grace time is active at \p Now and longer than
   /// before.
--- a/tests/unit/removal_grace_test.cpp
+++ b/tests/unit/removal_grace_test.cpp
@@ -39,6 +39,27 @@
   EXPECT_FALSE(Grace.noteReportedOutage(at(8000)));
 }
 
+// Guards against live targets that are taken for deleted, as the last read that
+// failed was a whole pause before the platform's return.
+TEST(RemovalGrace, AfterAFailureItLastsFromTheFirstReadThatSucceeds) {
+  RemovalGrace Grace(Length);
+  Grace.beginReading(at(0));
+  Grace.noteFailure(at(5000));
+  Grace.noteSuccess(at(6000));
+  Grace.noteSuccess(at(7000));
+  EXPECT_EQ(Grace.end(), at(8200));
+}
+
+// Guards against a failure that counts when the node reads again much later.
+TEST(RemovalGrace, AFailureBeforeReadingEndedDoesNotCount) {
+  RemovalGrace Grace(Length);
+  Grace.beginReading(at(0));
+  Grace.noteFailure(at(1000));
+  Grace.beginReading(at(60'000));
+  Grace.noteSuccess(at(60'100));
+  EXPECT_FALSE(Grace.active(at(60'100)));
+}
+
 // Guards against a grace time that begins anew at each node that notices a
 // return later than others.
 TEST(RemovalGrace, AReturnCountsFromItsFirstNotice) {
