--- a/src/node/fleet/watcher_role.cpp
+++ b/src/node/fleet/watcher_role.cpp
@@ -35,9 +35,13 @@
       [](const SteeringNode &Node) { return Node.PlatformUnreachable; });
 }
 
-std::optional<std::size_t> watcherPosition(const NodeContext &Context) {
+bool hearsOtherNodes(const NodeContext &Context) {
   const Instant Received{Duration(Context.LastGossip.load())};
-  if (bootNow() - Received > config::GossipSilenceTimeout)
+  return bootNow() - Received <= config::GossipSilenceTimeout;
+}
+
+std::optional<std::size_t> watcherPosition(const NodeContext &Context) {
+  if (!hearsOtherNodes(Context))
     return 0;
   const auto View = Context.Members.load();
   const std::vector<SteeringNode> &Chosen = View->Watchers;
--- a/src/node/fleet/watcher_role.h
+++ b/src/node/fleet/watcher_role.h
@@ -21,6 +21,9 @@
 /// entries of live targets may be missing there.
 bool isOutageReported(const NodeContext &Context);
 
+/// Whether this node has received gossip within config::GossipSilenceTimeout.
+bool hearsOtherNodes(const NodeContext &Context);
+
 /// This node's position among the watchers, from 0; also 0 for a node that
 /// received no gossip for config::GossipSilenceTimeout, as no other node could
 /// then send it changes. \returns nothing if this node is no watcher.
