Requests that are open at the exit of a planned stop are answered

Cause: the shutdown limit ends the process whatever is open.

Change: DrainSchedule::LastAnswer, 0.2 s before the exit (at most 3% of the shutdown limit), ends all waits for targets by a descriptor that becomes readable. Requests that may have run get 504, those never sent 503. What has been received is passed on, and streamed responses go on. Waits for a thread end when the request can't be sent any more. Each request that is open then is logged with its stage and ages, and what is left at the exit again.

--- a/include/siskinstage/config.h
+++ b/include/siskinstage/config.h
@@ -382,8 +382,11 @@
 /// its shutdown limit; after that, only those that end before the process
 /// exits.
 inline constexpr std::chrono::milliseconds DrainServeTime = 3s;
-/// A request that ends this long before the exit still gets its response.
-inline constexpr std::chrono::milliseconds DrainExitMargin = 100ms;
+/// This long before the exit, at most this fraction of the shutdown limit, all
+/// requests that are still open are answered. One that ends before still gets
+/// its response.
+inline constexpr std::chrono::milliseconds DrainExitMargin = 200ms;
+inline constexpr double DrainExitFraction = 0.03;
 /// How often the read of a body checks whether the node drains.
 inline constexpr std::chrono::milliseconds DrainCheckPeriod = 250ms;
 /// Idle connections are kept open for at least this long after draining starts,
--- a/src/core/requests/drain_schedule.h
+++ b/src/core/requests/drain_schedule.h
@@ -5,11 +5,15 @@
 
 namespace siskinstage {
 
-/// Times of a planned stop. A request that is in flight when the process exits
-/// is cut, so late requests are sent to targets only if they end before.
+/// Times of a planned stop. What is in flight when the process exits is cut, so
+/// late requests are sent to targets only if they end before, and requests that
+/// are still open shortly before the exit are answered without their target.
 struct DrainSchedule {
   /// Until then, any request may be sent.
   Instant LastSend;
+  /// When the requests that are still open are answered. As late as possible:
+  /// until then, their targets may respond.
+  Instant LastAnswer;
   /// When the process exits, even if requests are in flight.
   Instant Exit;
 
@@ -19,6 +23,9 @@
   /// The latest time at which a request that ends by \p Deadline may be sent to
   /// a target, and its body be read.
   [[nodiscard]] Instant sendLimit(Instant Deadline) const;
+  /// The latest time at which a request that ends by \p Deadline may wait for
+  /// its target.
+  [[nodiscard]] Instant waitLimit(Instant Deadline) const;
 };
 
 } // namespace siskinstage
--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -92,18 +92,17 @@
 ConnectionResult<void>
 TcpConnection::awaitEvent(short Events, Instant Deadline,
                           const TcpConnection *Watched) const {
-  std::array<pollfd, 2> Polled{};
+  // poll() ignores entries with the descriptor -1.
+  std::array<pollfd, 3> Polled{};
   Polled[0] = {this->descriptor(), Events, 0};
-  nfds_t Count = 1;
-  if (Watched != nullptr) {
-    Polled[1] = {Watched->descriptor(), POLLRDHUP, 0};
-    Count = 2;
-  }
+  Polled[1] = {Watched != nullptr ? Watched->descriptor() : -1, POLLRDHUP, 0};
+  Polled[2] = {this->Interrupt, POLLIN, 0};
   while (true) {
     const Duration Remaining = timeLeft(Deadline);
     if (Remaining == Duration::zero())
       return fault(ConnectionFault::Kind::Timeout, "the deadline passed");
-    const int Ready = ::poll(Polled.data(), Count, pollMillis(Remaining));
+    const int Ready =
+        ::poll(Polled.data(), Polled.size(), pollMillis(Remaining));
     if (Ready < 0 && errno != EINTR)
       return fault(ConnectionFault::Kind::Broken, "poll failed");
     if (Ready <= 0)
@@ -112,6 +111,9 @@
       return {};
     if (isPeerGone(Polled[1].revents))
       return fault(ConnectionFault::Kind::Cancelled, "the caller has gone");
+    if (Polled[2].revents != 0)
+      return fault(ConnectionFault::Kind::Interrupted,
+                   "the node is shutting down");
   }
 }
 
--- a/src/net/tcp_connection.h
+++ b/src/net/tcp_connection.h
@@ -19,6 +19,7 @@
     Broken,        ///< The connection was reset, or another error.
     ConnectFailed, ///< The connection was not established.
     Cancelled,     ///< The peer of the watched connection has gone.
+    Interrupted,   ///< See TcpConnection::endWaitsBy().
   };
   Kind Cause = Kind::Broken;
   std::string Reason;
@@ -56,6 +57,9 @@
   ConnectionResult<void> write(std::string_view Bytes, Instant Deadline,
                                std::size_t &Sent);
   ConnectionResult<void> write(std::string_view Bytes, Instant Deadline);
+  /// Ends the waits of this connection with Interrupted while \p Descriptor is
+  /// readable; -1 for never. What has been received is still read.
+  void endWaitsBy(int Descriptor) { this->Interrupt = Descriptor; }
   /// Whether bytes or the end of the stream wait to be read. An idle connection
   /// to a target can't be reused then.
   [[nodiscard]] bool hasInput() const;
@@ -82,6 +86,7 @@
   Poco::Net::StreamSocket Socket;
   std::string Buffer;
   std::size_t Consumed = 0; ///< Bytes at the start of Buffer that are consumed.
+  int Interrupt = -1;       ///< Descriptor that ends waits.
 
   ConnectionResult<void> awaitEvent(short Events, Instant Deadline,
                                     const TcpConnection *Watched) const;
--- a/src/node/callers/caller_port.cpp
+++ b/src/node/callers/caller_port.cpp
@@ -5,7 +5,6 @@
 #include "node/requests/request_flow.h"
 #include "siskinstage/config.h"
 
-#include <atomic>
 #include <functional>
 #include <memory>
 #include <utility>
@@ -14,34 +13,21 @@
 
 namespace {
 
-/// Increments a counter while it exists.
-class ScopedCount {
-public:
-  explicit ScopedCount(std::atomic<std::uint32_t> &Count) : Count(Count) {
-    ++this->Count;
-  }
-  ~ScopedCount() { --this->Count; }
-  ScopedCount(const ScopedCount &) = delete;
-  ScopedCount &operator=(const ScopedCount &) = delete;
-
-private:
-  std::atomic<std::uint32_t> &Count;
-};
-
 /// A request with all that it needs while it waits.
 class CallerActivity : public ActiveRequest {
 public:
   CallerActivity(NodeContext &Context, TcpConnection &Caller,
                  CallerRequest Request, const std::function<void()> &Wake)
-      : Running(Context.RequestsInFlight), Request(std::move(Request)),
-        Flow(Context, Caller, this->Request, Wake) {}
+      : Request(std::move(Request)),
+        Progress(Context.Requests, this->Request.Id, this->Request.Arrived),
+        Flow(Context, Caller, this->Request, this->Progress, Wake) {}
   ConnectionHandler::Next resume(bool MayBlock) override {
     return this->Flow.proceed(MayBlock);
   }
 
 private:
-  ScopedCount Running;
   CallerRequest Request;
+  RequestProgress Progress;
   RequestFlow Flow;
 };
 
--- a/src/node/callers/connection_server.cpp
+++ b/src/node/callers/connection_server.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <exception>
+#include <map>
 #include <sys/epoll.h>
 #include <unistd.h>
 #include <utility>
@@ -368,6 +369,33 @@
   this->DrainStart = bootNow();
 }
 
+void ConnectionServer::resumeRequests() {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  for (const auto &[ConnectionId, Open] : this->Connections)
+    if (Open.Request || Open.Current == State::Busy)
+      this->Resumed->push(ConnectionId);
+}
+
+void ConnectionServer::logOpen() {
+  std::size_t Unread = 0;
+  std::map<State, std::size_t> Count;
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  for (const auto &[ConnectionId, Open] : this->Connections) {
+    ++Count[Open.Current];
+    if (Open.Current == State::Idle && Open.Peer->hasInput())
+      ++Unread;
+  }
+  logEvent(LogLevel::Info, "connections are open at the exit",
+           {{"unread", std::to_string(Unread)},
+            {"idle", std::to_string(Count[State::Idle])},
+            {"busy", std::to_string(Count[State::Busy])},
+            {"incomplete", std::to_string(Count[State::Incomplete])},
+            {"lingering", std::to_string(Count[State::Lingering])},
+            {"suspended", std::to_string(Count[State::Suspended])},
+            {"needs_input", std::to_string(Count[State::NeedsInput])},
+            {"needs_thread", std::to_string(Count[State::NeedsThread])}});
+}
+
 void ConnectionServer::resumeBodies() {
   for (const auto &[ConnectionId, Open] : this->Connections)
     if (Open.Current == State::NeedsInput)
--- a/src/node/callers/connection_server.h
+++ b/src/node/callers/connection_server.h
@@ -54,12 +54,17 @@
                       std::shared_ptr<ConnectionHandler> Handler);
   /// Applies the idle timeouts of a draining process from now on.
   void drain();
+  /// Resumes all requests that wait, so that they set their timers again: in a
+  /// planned stop, their time limits become shorter.
+  void resumeRequests();
   /// Closes the connections past their time limits. The threads also do this
   /// every config::IdleSweepPeriod.
   void closeExpired();
   /// Closes all ports, after accepting the connections that are already
   /// established. Open connections are still served.
   void stopAccepting();
+  /// Logs how many connections are open in which state.
+  void logOpen();
 
 private:
   /// Identifies a port or a connection in the epoll set.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -14,6 +14,7 @@
 #include "node/targets/prober.h"
 #include "siskinstage/config.h"
 
+#include <algorithm>
 #include <functional>
 #include <pthread.h>
 #include <random>
@@ -138,22 +139,37 @@
   NodeContext &Shared = *this->Context;
   const Instant Start = bootNow();
   Shared.Drain.begin(Start, Shared.NodeSettings.ShutdownLimit);
+  const DrainSchedule &Plan = Shared.Drain.schedule();
   logEvent(LogLevel::Info, "node is draining");
   this->CallerServer->drain();
+  this->CallerServer->resumeRequests();
+  this->ControlServer->resumeRequests();
   // Connections are accepted a little longer, while members and callers learn
   // that this node leaves. After that, connections are refused, from which
   // callers know that their request was not executed.
-  const Instant Limit = Start + Shared.NodeSettings.ShutdownLimit;
   Shared.Stop.sleep(Shared.NodeSettings.AcceptLinger);
   this->CallerServer->stopAccepting();
-  while (Shared.CallerConnections.Open.load() > 0 && bootNow() < Limit) {
+  this->finishRequests(Plan.LastAnswer);
+  Shared.Requests.log("is unfinished");
+  Shared.Drain.endWaits();
+  this->finishRequests(Plan.Exit);
+  Shared.Requests.log("is cut by the exit");
+  if (Shared.CallerConnections.Open.load() > 0)
+    this->CallerServer->logOpen();
+  logEvent(LogLevel::Info, "node drained",
+           {{"requests_cut", std::to_string(Shared.Requests.count())}});
+}
+
+void Node::finishRequests(Instant Limit) {
+  NodeContext &Shared = *this->Context;
+  while (Shared.CallerConnections.Open.load() > 0 ||
+         Shared.Requests.count() > 0) {
+    const Duration Left = timeLeft(Limit);
+    if (Left == Duration::zero())
+      return;
     this->CallerServer->closeExpired();
-    Shared.Stop.sleep(config::DecisionPeriod);
+    Shared.Stop.sleep(std::min<Duration>(config::DecisionPeriod, Left));
   }
-  while (Shared.RequestsInFlight.load() > 0 && bootNow() < Limit)
-    Shared.Stop.sleep(config::DecisionPeriod);
-  logEvent(LogLevel::Info, "node drained",
-           {{"requests_cut", std::to_string(Shared.RequestsInFlight.load())}});
 }
 
 Node::Node() = default;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -29,7 +29,8 @@
   void reload();
   /// Drains the node: announces that it leaves, closes callers' connections
   /// after their next response, and returns once no request is in flight or the
-  /// shutdown limit has passed.
+  /// shutdown limit has passed. Requests that are open shortly before get a
+  /// refusal; see DrainSchedule::LastAnswer.
   void shutDown();
 
 private:
@@ -46,6 +47,9 @@
   Node();
   Result<void> openPorts(const NodeAdapter &Adapter);
   void startThreads(std::uint64_t Seed, const NodeAdapter &Adapter);
+  /// Closes expired connections until no request or connection is open, at most
+  /// until \p Limit.
+  void finishRequests(Instant Limit);
 };
 
 } // namespace siskinstage
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -16,6 +16,7 @@
 #include "node/records/sync_queue.h"
 #include "node/requests/account_gate.h"
 #include "node/requests/key_owner.h"
+#include "node/requests/open_requests.h"
 #include "node/requests/quarantine_gate.h"
 #include "node/requests/quota_gate.h"
 #include "node/settings.h"
@@ -65,7 +66,7 @@
   DrainState Drain; ///< Active once SIGTERM was received.
   ConnectionCounts CallerConnections;
   ConnectionCounts ControlConnections;
-  std::atomic<std::uint32_t> RequestsInFlight{0};
+  OpenRequests Requests;
   std::atomic<std::uint64_t> NextRequest{1};
 
   /// Whether callers' requests are accepted.
--- a/src/node/operators/state_dump.cpp
+++ b/src/node/operators/state_dump.cpp
@@ -83,7 +83,8 @@
   Dump["draining"] = Context.Drain.active();
   Dump["caller_connections"] = Context.CallerConnections.Open.load();
   Dump["control_connections"] = Context.ControlConnections.Open.load();
-  Dump["requests_in_flight"] = Context.RequestsInFlight.load();
+  Dump["requests_in_flight"] =
+      static_cast<Json::UInt64>(Context.Requests.count());
   Dump["observations_lost"] =
       static_cast<Json::UInt64>(Context.Observations.droppedCount());
   Json::Value &KeyIds = Dump["fleet_key_ids"] = Json::Value(Json::arrayValue);
--- a/src/node/pipe_wakeup.cpp
+++ b/src/node/pipe_wakeup.cpp
@@ -12,9 +12,8 @@
 PipeWakeup::PipeWakeup() {
   if (::pipe2(this->Ends, O_NONBLOCK | O_CLOEXEC) == 0)
     return;
-  // Without a pipe the thread still polls with a short timeout.
-  logEvent(LogLevel::Warn,
-           "cannot create the pipe that wakes the gossip thread",
+  // Threads that wait also have a time limit.
+  logEvent(LogLevel::Warn, "cannot create a pipe that wakes threads",
            {{"reason", std::strerror(errno)}});
   this->Ends[0] = this->Ends[1] = -1;
 }
--- a/src/node/requests/dispatch_records.cpp
+++ b/src/node/requests/dispatch_records.cpp
@@ -207,7 +207,8 @@
                                Duration Elapsed) {
   this->Context.NodeMetrics.countAttemptFailure(Failed.Attempt.Cause);
   this->logFailure(Target, Failed, Elapsed);
-  if (Failed.CallerGone ||
+  // The end of a wait in a planned stop tells nothing about the target.
+  if (Failed.CallerGone || Failed.ShuttingDown ||
       Failed.Attempt.Cause == AttemptFailure::Kind::DeadlinePassed)
     return;
   const bool ClosedDuringRequest =
--- a/src/node/requests/dispatcher.cpp
+++ b/src/node/requests/dispatcher.cpp
@@ -138,8 +138,9 @@
   const bool Repeatable = this->Params.Kind == Repeatability::Repeatable;
   const Duration MaxIdle = Repeatable ? Duration(config::TargetIdleLimit)
                                       : config::AtMostOnceIdleLimit;
-  auto Connection = Target.Gauge->Pool.take(Target.Spec.Endpoint, MaxIdle,
-                                            this->Params.Deadline);
+  auto Connection = Target.Gauge->Pool.take(
+      Target.Spec.Endpoint, MaxIdle,
+      this->Context.Drain.waitLimit(this->Params.Deadline));
   if (Connection)
     return std::move(*Connection);
   return tl::unexpected<ExchangeFailure>(ExchangeFailure{
@@ -173,7 +174,10 @@
                                   [this, Target, Started = bootNow()] {
                                     return this->leaveOverdue(Target, Started);
                                   },
-                                  this->Params.StreamDeadline};
+                                  this->Params.StreamDeadline,
+                                  this->Context.Drain.waitsEnd()};
+  if (this->Params.Progress != nullptr)
+    this->Params.Progress->reach(RequestProgress::Stage::AtTarget);
   Made.Exchange = std::make_unique<TargetExchange>(std::move(*Connection),
                                                    std::move(AttemptParams));
   return receive(Made, Made.Exchange->run());
@@ -323,6 +327,9 @@
                         "targets crashed at this request");
   if (auto Refused = checkRevocation(this->Context, this->Params.Client))
     return this->afterAttempts(std::move(*Refused));
+  // It may have waited for a thread since it got its slot.
+  if (this->isPastDrain())
+    return this->rejectionResult({ServiceGate::Refusal::Draining, {}});
   setAccountHeaders(this->OutgoingHead, this->Params.Client,
                     this->Context.NodeSettings.HeaderDialect);
   const std::string &Key = this->Params.OwnedKey;
@@ -331,6 +338,12 @@
   return std::nullopt;
 }
 
+bool Dispatcher::isPastDrain() const {
+  const Instant Now = bootNow();
+  return Now >= this->Context.Drain.sendLimit(this->Params.Deadline) &&
+         Now < this->Params.Deadline;
+}
+
 std::optional<DispatchResult>
 Dispatcher::acceptResponse(Attempt &Made, Duration Elapsed,
                            ExchangeFailure &Failed) {
@@ -425,7 +438,7 @@
       ++this->ConnectFailures;
     return std::nullopt;
   }
-  if (!this->allowRetry(Failed.Attempt))
+  if (Failed.ShuttingDown || !this->allowRetry(Failed.Attempt))
     return this->failureResult(Target, Failed);
   this->scheduleRetry(Failed.Attempt);
   return std::nullopt;
@@ -456,6 +469,8 @@
       if (auto Rejected = this->acquireTarget())
         return Rejected;
     if (!this->Lease || !MayBlock) {
+      if (this->isPastDrain())
+        return this->rejectionResult({ServiceGate::Refusal::Draining, {}});
       if (this->Params.Caller != nullptr && this->Params.Caller->peerGone())
         return CallerGone{};
       if (this->Lease && bootNow() >= this->Params.Deadline)
--- a/src/node/requests/dispatcher.h
+++ b/src/node/requests/dispatcher.h
@@ -6,6 +6,7 @@
 #include "node/callers/caller_request.h"
 #include "node/callers/request_body.h"
 #include "node/requests/account_check.h"
+#include "node/requests/open_requests.h"
 #include "node/requests/refusal.h"
 #include "node/snapshot.h"
 #include "node/targets/service_gate.h"
@@ -50,6 +51,7 @@
   /// Called when Dispatcher::proceed() is to be called again. Any thread may
   /// call it, also after the request has ended.
   std::function<void()> Wake;
+  RequestProgress *Progress = nullptr; ///< Told how far the request has come.
 };
 
 /// The response of a target. Exchange holds its body, or continues to read it.
@@ -188,6 +190,8 @@
   /// The result if the request must not be sent: its caller disconnected, it is
   /// quarantined, or its key is in use.
   std::optional<DispatchResult> checkBeforeDispatch();
+  /// Whether the drain leaves no time to send the request to a target.
+  [[nodiscard]] bool isPastDrain() const;
   /// The result if the request must not be sent for \p Refused; it may have
   /// run in an earlier attempt.
   DispatchResult afterAttempts(Refusal Refused);
--- a/src/node/requests/flow_response.cpp
+++ b/src/node/requests/flow_response.cpp
@@ -19,6 +19,7 @@
             {"peer", Refused.Cause.Peer},
             {"reason", Refused.Cause.Reason},
             {"took_ms", this->elapsedText()}});
+  this->Progress.reach(RequestProgress::Stage::Response);
   this->Writer.sendRefusal(Refused);
 }
 
@@ -66,6 +67,7 @@
 }
 
 void RequestFlow::sendResponse(DispatchedResponse &Response) {
+  this->Progress.reach(RequestProgress::Stage::Response);
   TargetExchange &Exchange = *Response.Exchange;
   this->logResponse(Response);
   this->Context.NodeMetrics.countResponse(Exchange.response().Status);
--- a/src/node/requests/key_owner.cpp
+++ b/src/node/requests/key_owner.cpp
@@ -49,12 +49,13 @@
   return this->Table.claim(Key.Prefix.Epoch, Key.Text, Request, bootNow());
 }
 
-std::optional<KeyTable::View> KeyOwner::awaitEnd(const std::string &Key,
-                                                 Instant Deadline) {
+std::optional<KeyTable::View>
+KeyOwner::awaitEnd(const std::string &Key,
+                   const std::function<Instant()> &Limit) {
   std::unique_lock<std::mutex> Guard(this->Lock);
   while (true) {
     auto View = this->Table.find(Key);
-    const Duration Left = timeLeft(Deadline);
+    const Duration Left = timeLeft(Limit());
     if (hasEnded(View) || Left == Duration::zero())
       return View;
     this->Ended.wait_for(Guard, std::min<Duration>(Left, PollPeriod));
--- a/src/node/requests/key_owner.h
+++ b/src/node/requests/key_owner.h
@@ -5,6 +5,7 @@
 #include "core/requests/request_key.h"
 
 #include <condition_variable>
+#include <functional>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -27,10 +28,11 @@
   [[nodiscard]] bool hasOwnAddress(const KeyPrefix &Prefix) const;
 
   KeyTable::Claim claim(const RequestKey &Key, Fingerprint Request);
-  /// Waits until the key is in a final state or \p Deadline passes.
+  /// Waits until the key is in a final state or \p Limit passes, which may
+  /// become earlier meanwhile.
   /// \returns its state, or nothing if it is unknown.
   std::optional<KeyTable::View> awaitEnd(const std::string &Key,
-                                         Instant Deadline);
+                                         const std::function<Instant()> &Limit);
   void setBodyHash(const std::string &Key, std::uint64_t Hash);
   [[nodiscard]] bool beginDispatch(const std::string &Key);
   void retractDispatch(const std::string &Key);
--- a/src/node/requests/keyed_flow.cpp
+++ b/src/node/requests/keyed_flow.cpp
@@ -92,7 +92,10 @@
                  readFaultText(Drained.error()));
     return;
   }
-  const auto View = this->Context.Keys.awaitEnd(Key.Text, this->Deadline);
+  this->Progress.reach(RequestProgress::Stage::AtKeyOwner);
+  const auto View = this->Context.Keys.awaitEnd(Key.Text, [this] {
+    return this->Context.Drain.waitLimit(this->Deadline);
+  });
   const auto NodeName = this->Context.NodeSettings.Id.str();
   if (View && View->BodyHash && *View->BodyHash != this->Body.hash()) {
     this->Context.NodeMetrics.countResend("mismatch");
@@ -166,6 +169,7 @@
                  readFaultText(Buffered.error()));
     return;
   }
+  this->Progress.reach(RequestProgress::Stage::AtKeyOwner);
   OwnerForward Forward(this->Context, this->Request, this->Body, *this->Current,
                        this->Deadline, this->Client.Digest);
   auto Forwarded = Forward.run(formatAddress(Key.Prefix.Owner));
@@ -185,6 +189,7 @@
 DispatchResult RequestFlow::dispatchBlocking(const std::string &OwnedKey) {
   if (auto Refused = this->admitAccount())
     return std::move(*Refused);
+  this->Progress.reach(RequestProgress::Stage::Slot);
   const auto Woken = std::make_shared<Wakeup>();
   Dispatcher Dispatching(this->Context, this->dispatchParams(OwnedKey, [Woken] {
     Woken->notify();
--- a/src/node/requests/owner_forward.cpp
+++ b/src/node/requests/owner_forward.cpp
@@ -43,8 +43,8 @@
 }
 
 std::unique_ptr<TargetExchange> OwnerForward::forwardTo(const Address &Next) {
-  const Instant Limit =
-      std::min(this->Deadline, bootNow() + config::ConnectTimeout);
+  const Instant Limit = std::min(this->Context.Drain.waitLimit(this->Deadline),
+                                 bootNow() + config::ConnectTimeout);
   auto Connection = TcpConnection::connect(Next, Limit);
   if (!Connection) {
     this->LastReason = Connection.error().Reason;
@@ -63,6 +63,7 @@
   Params.Head = Head;
   Params.Body = &this->Body;
   Params.Deadline = this->Deadline;
+  Params.WaitsEnd = this->Context.Drain.waitsEnd();
   const Instant Now = bootNow();
   auto Exchange = std::make_unique<TargetExchange>(
       PooledConnection{std::move(*Connection), Now, Now, false},
@@ -84,8 +85,8 @@
     if (Direct)
       return Direct;
     for (const Address &Relay : this->relays(Owner)) {
-      if (!this->Body.replayable() ||
-          timeLeft(this->Deadline) == Duration::zero())
+      if (!this->Body.replayable() || timeLeft(this->Context.Drain.waitLimit(
+                                          this->Deadline)) == Duration::zero())
         break;
       auto Relayed = this->forwardTo(Relay);
       if (Relayed &&
--- a/src/node/requests/request_flow.cpp
+++ b/src/node/requests/request_flow.cpp
@@ -15,8 +15,9 @@
 
 RequestFlow::RequestFlow(NodeContext &Context, TcpConnection &Caller,
                          const CallerRequest &Request,
-                         std::function<void()> Wake)
-    : Context(Context), Caller(Caller), Request(Request), Wake(std::move(Wake)),
+                         RequestProgress &Progress, std::function<void()> Wake)
+    : Context(Context), Caller(Caller), Request(Request), Progress(Progress),
+      Wake(std::move(Wake)),
       Body(Caller, Request.Framing, Request.ExpectContinue,
            Request.Arrived + Request.TimeLeft.value_or(config::DefaultDeadline),
            Context.Drain),
@@ -58,13 +59,14 @@
     this->Writer.closeAfter();
     return std::nullopt;
   }
-  if (bootNow() >= Limit) {
+  if (bootNow() >= this->Context.Drain.sendLimit(Limit)) {
     this->refuse(503, this->Request.Key ? Outcome::Unknown : Outcome::NotRun,
                  Step::Queue, this->Context.NodeSettings.Id.str(),
                  "no thread was free before the deadline");
     return std::nullopt;
   }
-  this->setTimer(Limit);
+  this->Progress.reach(RequestProgress::Stage::Thread);
+  this->setTimer(this->Context.Drain.sendLimit(Limit));
   return ConnectionHandler::Next::NeedsThread;
 }
 
@@ -213,6 +215,7 @@
     return std::nullopt;
   }
   this->Reached = Stage::Dispatch;
+  this->Progress.reach(RequestProgress::Stage::Slot);
   this->Running.emplace(this->Context, this->dispatchParams("", this->Wake));
   return this->continueDispatch();
 }
@@ -225,9 +228,12 @@
     this->sendResult(*Result);
     return std::nullopt;
   }
-  if (!this->Running->needsThread())
+  if (!this->Running->needsThread()) {
+    this->Progress.reach(RequestProgress::Stage::Slot);
     return ConnectionHandler::Next::Suspended;
-  this->setTimer(this->Deadline);
+  }
+  this->Progress.reach(RequestProgress::Stage::Thread);
+  this->setTimer(this->Context.Drain.sendLimit(this->Deadline));
   return ConnectionHandler::Next::NeedsThread;
 }
 
@@ -297,6 +303,7 @@
   Params.Caller = OwnedKey.empty() ? &this->Caller : nullptr;
   Params.OwnedKey = OwnedKey;
   Params.Wake = std::move(Wake);
+  Params.Progress = &this->Progress;
   return Params;
 }
 
--- a/src/node/requests/request_flow.h
+++ b/src/node/requests/request_flow.h
@@ -25,7 +25,8 @@
   /// \param Wake called when proceed() is to be called again. Any thread may
   ///        call it, also after the request has ended.
   RequestFlow(NodeContext &Context, TcpConnection &Caller,
-              const CallerRequest &Request, std::function<void()> Wake);
+              const CallerRequest &Request, RequestProgress &Progress,
+              std::function<void()> Wake);
 
   /// Processes the request as far as possible, and sends the response.
   /// \param MayBlock see ServeTurn::MayBlock.
@@ -40,6 +41,7 @@
   NodeContext &Context;
   TcpConnection &Caller;
   const CallerRequest &Request;
+  RequestProgress &Progress;
   const std::function<void()> Wake;
   bool MayBlock = true; ///< Of the current call of proceed().
   Stage Reached = Stage::Start;
--- a/src/node/targets/target_exchange.cpp
+++ b/src/node/targets/target_exchange.cpp
@@ -38,14 +38,18 @@
 } // namespace
 
 TargetExchange::TargetExchange(PooledConnection Pooled, ExchangeParams Params)
-    : Pooled(std::move(Pooled)), Params(std::move(Params)) {}
+    : Pooled(std::move(Pooled)), Params(std::move(Params)) {
+  this->Pooled.Connection.endWaitsBy(this->Params.WaitsEnd);
+}
 
 ExchangeFailure TargetExchange::failure(Kind Cause, const ReadFault &Fault) {
   ExchangeFailure Failed;
   Failed.Attempt = {Cause, this->Sent > 0, readFaultText(Fault)};
   if (const auto *Broken = std::get_if<ConnectionFault>(&Fault)) {
     Failed.CallerGone = Broken->Cause == ConnectionFault::Kind::Cancelled;
-    Failed.TimedOut = Broken->Cause == ConnectionFault::Kind::Timeout;
+    Failed.ShuttingDown = Broken->Cause == ConnectionFault::Kind::Interrupted;
+    Failed.TimedOut =
+        Broken->Cause == ConnectionFault::Kind::Timeout || Failed.ShuttingDown;
   }
   return Failed;
 }
@@ -347,6 +351,8 @@
 
 ExchangeResult<std::string> TargetExchange::nextPart() {
   std::string Part;
+  // No other answer can take the place of a response that has begun.
+  this->Pooled.Connection.endWaitsBy(-1);
   const Instant Now = bootNow();
   const Instant Deadline =
       this->Params.StreamDeadline.value_or(Now + config::BodyStallTimeout);
--- a/src/node/targets/target_exchange.h
+++ b/src/node/targets/target_exchange.h
@@ -37,6 +37,9 @@
   /// route set a time limit. Without one, config::BodyStallTimeout limits the
   /// time without progress.
   std::optional<Instant> StreamDeadline;
+  /// Ends the attempt when it becomes readable, until a streamed response has
+  /// begun; see TcpConnection::endWaitsBy().
+  int WaitsEnd = -1;
 };
 
 /// How one attempt failed.
@@ -47,6 +50,7 @@
   bool SetAside = false;   ///< It was overdue and may be resumed.
   bool StaleReuse = false; ///< A reused connection failed before any response.
   std::optional<HttpRefusal> BodyFault; ///< Fault of the request body.
+  bool ShuttingDown = false;            ///< Ended by ExchangeParams::WaitsEnd.
 };
 
 template <typename T> using ExchangeResult = tl::expected<T, ExchangeFailure>;
@@ -67,7 +71,8 @@
   }
   /// Reads the response body until it is complete or \p MaxBytes are buffered.
   ExchangeResult<void> bufferBody(std::size_t MaxBytes);
-  /// Reads the next part of the body after the buffered one; empty at its end.
+  /// Reads the next part of the body after the buffered one, whose head has
+  /// been passed on; empty at its end.
   ExchangeResult<std::string> nextPart();
 
   /// Whether the complete response was read.
--- a/tests/integration/test_planned_stop.py
+++ b/tests/integration/test_planned_stop.py
@@ -86,11 +86,12 @@
 
 
 class PlannedStop(unittest.TestCase):
-    def stop_under_load(self, callers, work_s, servers=3, kind="upload"):
+    def stop_under_load(self, callers, work_s, servers=3, kind="upload",
+                        behaviour="normal", node_flags=()):
         """Signals a node while callers(node) send; returns their results."""
         with PlatformFleet(nodes=2, servers=servers, services=("photos",),
-                           node_flags=(f"--shutdown_limit_ms={SHUTDOWN_LIMIT_MS}",)
-                           ) as fleet:
+                           node_flags=(f"--shutdown_limit_ms={SHUTDOWN_LIMIT_MS}",
+                                       *node_flags)) as fleet:
             fleet.configure({"r1": route("/photos/", "photos", kind, 6)})
             node = fleet.nodes[0]
             for server in fleet.servers:
@@ -99,7 +100,9 @@
                 time.sleep(0.05)
             for server in fleet.servers:
                 server.work_s = work_s
+                server.behaviour = behaviour
             running = callers(node)
+            earlier = len(fleet.log_of(node))
             signal_time = time.monotonic() + 0.5
             for caller in running:
                 caller.begin(signal_time)
@@ -108,6 +111,7 @@
             for caller in running:
                 caller.join()
             fleet.processes[node].wait()
+            self.log = fleet.log_of(node)[earlier:]
             return [result for caller in running for result in caller.results]
 
     def read_before_targets_change(self, during, servers=3, reads=3,
@@ -226,6 +230,45 @@
             for n in range(10)], work_s=0.3, servers=4)
         self.assertEqual([status for _, status in results], [200] * 10)
 
+    def test_uploads_at_servers_that_hang_are_answered_before_the_exit(self):
+        results = self.stop_under_load(lambda node: [
+            Caller(node, n, body, 0, (time_s,)) for n, (time_s, body) in
+            enumerate([(-0.1, b"p"), (1, b"p"), (2.43, b"p"), (2.43, LARGE)])],
+            work_s=0, servers=6, behaviour="hang")
+        self.assertEqual([status for _, status in results], [504] * 4)
+        unfinished = [line for line in self.log.splitlines()
+                      if "is unfinished" in line]
+        self.assertEqual(len(unfinished), 4)
+        for line in unfinished:
+            self.assertIn("stage=at-target", line)
+
+    def test_reads_at_servers_that_hang_are_answered_before_the_exit(self):
+        results = self.stop_under_load(lambda node: [
+            Caller(node, n, b"p", 0, (2.4,)) for n in range(6)],
+            work_s=0, servers=6, kind="safe", behaviour="hang")
+        self.assertEqual([status for _, status in results], [504] * 6)
+
+    def test_responses_that_stall_are_answered_before_the_exit(self):
+        results = self.stop_under_load(lambda node: [
+            Caller(node, n, b"p", 0, (2.4,)) for n in range(3)],
+            work_s=0, behaviour="stall")
+        self.assertEqual([status for _, status in results], [504] * 3)
+
+    def test_requests_that_wait_for_a_thread_are_answered_before_the_exit(self):
+        results = self.stop_under_load(lambda node: [
+            Caller(node, n, b"p", 0, (2.4,)) for n in range(12)],
+            work_s=0, servers=6, behaviour="hang",
+            node_flags=("--caller_threads=4",))
+        statuses = [status for _, status in results]
+        self.assertEqual(len(statuses), 12)
+        self.assertEqual(set(statuses), {503, 504})
+
+    def test_responses_just_before_the_last_answers_are_passed_on(self):
+        results = self.stop_under_load(lambda node: [
+            Caller(node, n, b"p", 0, (0.4,)) for n in range(6)],
+            work_s=4.7, servers=6)
+        self.assertEqual([status for _, status in results], [200] * 6)
+
     def test_the_exit_follows_the_grace_time_of_the_platform(self):
         grace_s = 3
         with PlatformFleet(nodes=1, servers=1, services=("photos",),
--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -1,12 +1,16 @@
 """Tests requests and responses end to end, with callers, nodes and targets as
 real processes."""
 
+import http.client
 import json
 import signal
+import threading
+import time
 import unittest
 
 import fleet
-from fleet import NODE_PORT, OPERATOR_PORT, Fleet, send_request, run_load
+from fleet import (NODE_PORT, OPERATOR_PORT, Fleet, run_load, send_request,
+                   wait_for)
 
 
 class WholePath(unittest.TestCase):
@@ -102,5 +106,49 @@
             self.assertEqual(running.ledger()[key], 1)
 
 
+class KeyedStop(unittest.TestCase):
+    """Requests with an idempotency key ended without an answer at the exit of
+    the node that held them."""
+
+    def send(self, port, headers, outcomes):
+        try:
+            status, body = send_request(port, "POST", "/allocations/1", "lot",
+                                        10, headers)
+            outcomes.append((status, json.loads(body)["outcome"]))
+        except (OSError, http.client.HTTPException):
+            outcomes.append(None)
+
+    def start(self, port, key, count=1):
+        """Sends requests with the key; returns the list of their outcomes."""
+        outcomes = []
+        headers = {"Idempotency-Key": key,
+                   "Siskinstage-Deadline-Ms": "8000"}
+        for _ in range(count):
+            threading.Thread(target=self.send, daemon=True,
+                             args=(port, headers, outcomes)).start()
+        time.sleep(0.3)
+        return outcomes
+
+    def test_keyed_requests_are_answered_before_the_exit(self):
+        with Fleet(nodes=2, node_flags=("--shutdown_limit_ms=1500",)) as running:
+            _, body = send_request(NODE_PORT, "GET", "/.siskinstage/v1/entries"
+                                   "?service=allocation&account=a")
+            entries = json.loads(body)
+            owner = int(entries["entries"][0]["address"].split(":")[1])
+            other = 2 * NODE_PORT + 1 - owner
+            for target in running.targets_of("allocation"):
+                running.set_behaviour(target, "silent=1")
+            prefix = entries["key_prefix"]
+            at_owner = self.start(owner, prefix + ".first", 2)
+            forwarded = self.start(other, prefix + ".second")
+            for port in (other, owner):
+                node = f"node-{port - NODE_PORT}"
+                running.signal(node, signal.SIGTERM)
+                running.processes[node].wait(5)
+            wait_for(lambda: len(at_owner + forwarded) == 3, 2, "all outcomes")
+            self.assertEqual((at_owner, forwarded), (
+                [(504, "unknown")] * 2, [(502, "unknown")]))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -238,7 +238,8 @@
         self.work_s = 0.02
         self.born = 1700000000000  # start of its process, in milliseconds
         self.seq = 0               # number of its writes to the store
-        # normal, hang, shed, unsealed, error, reset, encoded, cut or busy
+        # normal, hang, shed, unsealed, error, reset, encoded, stall, cut or
+        # busy
         self.behaviour = "normal"
         self.sends_second_response = False
         self.notices = {}  # headers of all responses, by name
@@ -322,6 +323,10 @@
         elif self.behaviour == "encoded":
             self.reply(call, 200, attempt, dict(seal, **{
                 "Content-Encoding": "gzip"}))
+        elif self.behaviour == "stall":
+            self.reply(call, 200, attempt, seal, content_length=1000)
+            time.sleep(8)
+            call.close_connection = True
         elif self.behaviour == "cut":
             self.reply(call, 200, attempt, seal, content_length=1000)
             call.close_connection = True
--- a/tests/unit/tcp_connection_test.cpp
+++ b/tests/unit/tcp_connection_test.cpp
@@ -1,3 +1,4 @@
+#include "node/pipe_wakeup.h"
 #include "unit/connection_pair.h"
 
 #include <atomic>
@@ -54,6 +55,26 @@
   EXPECT_EQ(Ended.error().Cause, ConnectionFault::Kind::Cancelled);
 }
 
+/// Guards against a response that has been received and is lost as the wait for
+/// it ends.
+TEST(TcpConnection, ReadsWhatIsThereWhenItsWaitsEnd) {
+  ConnectionPair Pair;
+  const PipeWakeup Ended;
+  Pair.Far.endWaitsBy(Ended.descriptor());
+  std::thread Notifier([&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    Ended.notify();
+  });
+  const Instant Limit = bootNow() + std::chrono::seconds(5);
+  const auto Waited = Pair.Far.fill(Limit);
+  Notifier.join();
+  ASSERT_FALSE(Waited);
+  EXPECT_EQ(Waited.error().Cause, ConnectionFault::Kind::Interrupted);
+  EXPECT_LT(bootNow(), Limit);
+  ASSERT_TRUE(Pair.Near.write("x", Limit));
+  EXPECT_TRUE(Pair.Far.fill(Limit));
+}
+
 /// Sends signals to the thread that created it, to interrupt its system calls.
 class SignalSender {
 public:
