Test of a watcher that dies in an outage of the store without answers

It fails on and on, because of a real fault: the node that takes over just after the outage has heard of none, reads all items, and takes live targets whose entries lapsed for deleted.

--- a/tests/integration/test_lapses_near_returns.py
+++ b/tests/integration/test_lapses_near_returns.py
@@ -13,6 +13,9 @@
 #: next attempt, which is up to a second.
 OUTAGES_S = (4.1, 4.4, 4.7)
 FROZEN_OUTAGE_S = 3  # longer than it takes to count as cut off from all others
+#: Shorter than the watches that wait: nobody has reported the outage at its end.
+MUTE_OUTAGE_S = 2.4
+KILL_S = 2.2  # from the outage's begin, so that a node takes over after its end
 THAW_S = 0.3  # after the return, while entries are missing
 PAUSE_S = 0.4  # without requests at the targets, which get many a second
 WRITTEN_AGAIN_S = ENTRY_RETURN_S - 0.1
@@ -92,6 +95,32 @@
             time.sleep(ENTRY_RETURN_S)
         self.assertEqual(self.pauses_at(lapsed, returned), [])
 
+    # Guards against a node that takes over as a watcher just after an outage
+    # which the others have not noticed yet, as their watches still wait.
+    def test_a_watcher_that_dies_in_an_outage_without_answers(self):
+        lapsed = self.fleet.of_service("orders")[:2]
+        watchers = self.watchers()
+        others = [node for node in self.fleet.nodes if node not in watchers]
+        with Callers(self.fleet, ["/orders/1"], 4) as callers:
+            callers.fleet.nodes = others
+            time.sleep(SETTLE_S)
+            # The watches of all watchers begin anew after this change.
+            self.fleet.register(self.fleet.of_service("reads")[0])
+            time.sleep(PAUSE_S)
+            self.store.set_mode("mute")
+            for server in lapsed:
+                self.store.remove(f"servers/{server.id}")
+            time.sleep(KILL_S)
+            self.fleet.signal(watchers[0], signal.SIGKILL)
+            time.sleep(MUTE_OUTAGE_S - KILL_S)
+            self.store.set_mode("up")
+            returned = time.monotonic()
+            time.sleep(WRITTEN_AGAIN_S)
+            for server in lapsed:
+                self.fleet.register(server)
+            time.sleep(ENTRY_RETURN_S)
+        self.assertEqual(self.pauses_at(lapsed, returned), [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -35,6 +35,7 @@
     """The store: items with revisions, paged ranges, watches and outages."""
 
     PAGE_ITEMS = 3  # so few that a range of a few servers has several pages
+    MUTE_S = 8      # longer than any call waits
 
     def __init__(self):
         self.changed = threading.Condition()
@@ -42,7 +43,7 @@
         self.events = []
         self.revision = 1
         self.compacted = 0  # revision up to which events are removed
-        self.mode = "up"    # up, silent, refuse, drop or endless
+        self.mode = "up"    # up, silent, mute, refuse, drop or endless
         self.endless_calls = 0
         self.rejected_addresses = set()  # nodes that get status 429
         self.old_revision = None  # reads return this state, if it is set
@@ -151,6 +152,10 @@
         query = dict(urllib.parse.parse_qsl(url.query))
         if self.mode == "silent":
             time.sleep(1.5)
+        elif self.mode == "mute":
+            time.sleep(self.MUTE_S)
+            call.close_connection = True
+            return
         if self.mode != "up":
             call.close_connection = True
             if self.mode == "refuse":
@@ -207,8 +212,10 @@
                 self.changed.wait(left)
         if self.mode == "up":
             self.send(call, status, body)
-        else:
-            call.close_connection = True
+            return
+        if self.mode == "mute":
+            time.sleep(self.MUTE_S)
+        call.close_connection = True
 
     def send_endless(self, call):
         """Sends bytes that are no response until the caller closes: in turn in
