The store stand-in tells nodes apart, so that it can turn some of them away

Cause: Store.rejected_addresses held addresses of nodes, but nodes don't bind their outgoing connections, and all of them come from 127.0.0.1.

Change: each node reads the store at an address of its own, by which the stand-in knows the caller.

--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -12,7 +12,7 @@
 import tomllib
 
 from fleet import BUILD, ROOT, wait_for
-from platform_standins import NETWORK, STORE_ADDRESS, Server, Store
+from platform_standins import NETWORK, Server, Store
 
 FRONT, READY, CONTROL, DIRECTORY, OPERATOR = 18500, 18501, 18502, 18503, 18504
 DOMAINS = ("za", "zb")
@@ -169,7 +169,7 @@
             "port-range": [OPERATOR, OPERATOR],
             "seeds": [f"{seed}:{CONTROL}" for seed in self.nodes[:2]],
             "limits": {"cpu-share": 0.2},
-            "platform": {"address": "%s:%d" % STORE_ADDRESS}}
+            "platform": {"address": "%s:%d" % self.store.address_for(node)}}
 
     def start(self, node):
         index = self.nodes.index(node)
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -60,11 +60,25 @@
             def log_message(self, *_):
                 pass
 
-        self.listener = serve(STORE_ADDRESS, Handler)
+        self.handler = Handler
+        self.listeners = {None: serve(STORE_ADDRESS, Handler)}  # by node
+
+    def address_for(self, node):
+        """An address for this node alone: connections of all nodes come from
+        the same loopback address, which doesn't tell them apart."""
+        address = (f"{NETWORK}.4.{node.rsplit('.', 1)[1]}", STORE_ADDRESS[1])
+        if node not in self.listeners:
+            self.listeners[node] = serve(address, self.handler)
+        return address
+
+    def caller(self, call):
+        return next(node for node, listener in list(self.listeners.items())
+                    if listener is call.server)
 
     def stop(self):
-        self.listener.shutdown()
-        self.listener.server_close()
+        for listener in self.listeners.values():
+            listener.shutdown()
+            listener.server_close()
 
     def put(self, key, value):
         raw = value if isinstance(value, bytes) else json.dumps(value).encode()
@@ -147,7 +161,7 @@
             elif self.mode == "endless":
                 self.send_endless(call)
             return
-        if call.client_address[0] in self.rejected_addresses:
+        if self.caller(call) in self.rejected_addresses:
             self.send(call, 429, {})
         elif url.path == "/api/kv-range":
             if not query.get("prefix") and not query.get("after"):
