--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -140,6 +140,12 @@
     def register(self, server, **changes):
         self.store.put(f"servers/{server.id}", server.entry(**changes))
 
+    def add_server(self, service, zone):
+        """A further server, which is not registered yet."""
+        server = Server(len(self.servers), service, zone)
+        self.servers.append(server)
+        return server
+
     def configure(self, routes, accounts=None, **changes):
         """Puts a new configuration into the store. With accounts, a table by
         name, requests need an API key."""
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -5,6 +5,7 @@
 import http.server
 import json
 import os
+import random
 import socket
 import threading
 import time
@@ -44,10 +45,14 @@
         self.compacted = 0  # revision up to which events are removed
         self.mode = "up"    # up, silent, refuse, drop or endless
         self.endless_calls = 0
-        self.rejected_addresses = set()  # nodes that get status 429
+        self.rejected_addresses = set()  # nodes that get reject_status
+        self.reject_status = 429
+        self.delay_s = 0     # before each call is handled
+        self.lost_share = 0  # of the calls, which get no response
         self.old_revision = None  # reads return this state, if it is set
         self.era = 1              # header of all responses, if it is set
         self.calls = 0
+        self.call_times = []  # (begin, end, node, path)
         self.whole_reads = 0
         store = self
 
@@ -150,6 +155,14 @@
 
     def handle(self, call):
         self.calls += 1
+        begin = time.monotonic()
+        try:
+            self.respond(call)
+        finally:
+            self.call_times.append((begin, time.monotonic(),
+                                    self.caller(call), call.path))
+
+    def respond(self, call):
         url = urllib.parse.urlsplit(call.path)
         query = dict(urllib.parse.parse_qsl(url.query))
         if self.mode == "silent":
@@ -161,8 +174,11 @@
             elif self.mode == "endless":
                 self.send_endless(call)
             return
-        if self.caller(call) in self.rejected_addresses:
-            self.send(call, 429, {})
+        time.sleep(self.delay_s)
+        if random.random() < self.lost_share:
+            call.close_connection = True
+        elif self.caller(call) in self.rejected_addresses:
+            self.send(call, self.reject_status, {})
         elif url.path == "/api/kv-range":
             if not query.get("prefix") and not query.get("after"):
                 self.whole_reads += 1
