--- a/tests/integration/test_store_return.py
+++ b/tests/integration/test_store_return.py
@@ -312,6 +312,34 @@
         self.assertEqual(load.statuses(begin, time.monotonic()), {401})
         self.assertEqual(kept.statuses(begin, time.monotonic()), {200})
 
+    # Guards against a faulty header that hides changes, changes the epoch or
+    # fills the log.
+    def test_unusable_epochs_change_nothing(self):
+        keyed = KeyedFleet(self.fleet, [])
+        logged = {node: len(self.fleet.log_of(node))
+                  for node in self.fleet.nodes}
+        self.store.era = 5
+        for node in self.fleet.nodes:
+            wait_for(lambda n=node: self.fleet.state(n)["config"]["epoch"] == 5,
+                     CONTACT_S, f"epoch 5 at {node}")
+        for number, value in enumerate(
+                (-1, "x", 1.5, 2**53 + 1, "9" * 40, 4, "", None)):
+            self.store.era = value
+            keyed.publish(f"/added{number}/")
+            time.sleep(APPLY_S)
+            for node in self.fleet.nodes:
+                self.assertEqual(keyed.send(
+                    node, KEPT_KEY, path=f"/added{number}/1")[0], 200, value)
+                self.assertEqual(self.fleet.state(node)["config"]["epoch"], 5)
+        watching = 0
+        for node in self.fleet.nodes:
+            lines = [line for line in
+                     self.fleet.log_of(node)[logged[node]:].splitlines()
+                     if "unusable epoch" in line]
+            self.assertLessEqual(len(lines), 1, lines)
+            watching += sum("-1" in line for line in lines)
+        self.assertGreater(watching, 0)
+
 
 class LargeFleetReturn(unittest.TestCase):
     """A copy 5 s old, at a fleet of 24 nodes of which one is frozen meanwhile
--- a/tests/platform/platform_revocation.py
+++ b/tests/platform/platform_revocation.py
@@ -26,11 +26,13 @@
         self.revoked_at = {}  # time.monotonic() of the acknowledgement, by key
         self.publish()
 
-    def publish(self):
-        """Puts a configuration with the present keys into the store."""
+    def publish(self, *prefixes):
+        """Puts a configuration with the present keys, and with further routes,
+        into the store."""
         self.fleet.configure(
             {"r1": route("/reads/", "reads"),
-             "r2": dict(route("/open/", "reads"), public=True)},
+             "r2": dict(route("/open/", "reads"), public=True),
+             **{f"r{prefix}": route(prefix, "reads") for prefix in prefixes}},
             {f"tenant-{key}": {"api-keys": [key]} for key in self.keys})
 
     def revoke(self, key):
