The stand-in store plays a whole return from a copy

Change: Store.play_return is away, returns, and then lets the operator, the servers one after another, and the leases of departed servers follow at times of their own; so far all was written again at one moment. The fault soak uses it, one return after the other: two that overlap would let a server write an entry older than its last one. Whole reads are counted by node, and calls by time.

--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -2,6 +2,7 @@
 nodes read, and the servers that they send requests to."""
 
 import base64
+import collections
 import http.server
 import json
 import os
@@ -48,7 +49,8 @@
         self.old_revision = None  # reads return this state, if it is set
         self.era = 1              # header of all responses, if it is set
         self.calls = 0
-        self.whole_reads = 0
+        self.call_times = []  # time.monotonic()
+        self.whole_reads = collections.Counter()  # by node
         store = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -129,16 +131,43 @@
     def write_again(self, newest, copy, prefix=""):
         """The operator and the servers write again what the copy lacks, unless
         they have written something newer; entries of departed servers lapse."""
-        copied = copy[0]
-        for key in sorted({**copied, **newest}):
-            if not key.startswith(prefix):
-                continue
-            if self.items.get(key) != copied.get(key):
-                continue
-            if key not in newest:
-                self.remove(key)
-            elif newest[key] != copied.get(key):
+        for key in self.lost_keys(newest, copy):
+            if key.startswith(prefix):
+                self.write_key_again(key, newest, copy)
+
+    @staticmethod
+    def lost_keys(newest, copy):
+        """The keys of items that the copy has in another state, or lacks."""
+        return sorted(key for key in {**copy[0], **newest}
+                      if newest.get(key) != copy[0].get(key))
+
+    def write_key_again(self, key, newest, copy):
+        with self.changed:
+            if self.items.get(key) != copy[0].get(key):
+                return
+            if key in newest:
                 self.put_raw(key, newest[key]["value"])
+            else:
+                self.remove(key)
+
+    def play_return(self, copy, away_s=0.6, rewrite_s=0.3, entries_s=1.5,
+                    lapse_s=2):
+        """The store is away and returns from the copy. Then the operator writes
+        again after rewrite_s, the servers one after another until entries_s,
+        and the entries of departed servers lapse after lapse_s."""
+        self.go_away()
+        time.sleep(away_s)
+        newest = self.return_from(copy)
+        returned = time.monotonic()
+        lost = self.lost_keys(newest, copy)
+        written = [key for key in lost if key in newest]
+        step = (entries_s - rewrite_s) / max(1, len(written))
+        times = [(rewrite_s + index * step, key)  # The operator's key is first.
+                 for index, key in enumerate(written)]
+        times += [(lapse_s, key) for key in lost if key not in newest]
+        for due, key in times:
+            time.sleep(max(0, returned + due - time.monotonic()))
+            self.write_key_again(key, newest, copy)
 
     def set_mode(self, mode):
         with self.changed:
@@ -147,6 +176,7 @@
 
     def handle(self, call):
         self.calls += 1
+        self.call_times.append(time.monotonic())
         url = urllib.parse.urlsplit(call.path)
         query = dict(urllib.parse.parse_qsl(url.query))
         if self.mode == "silent":
@@ -162,7 +192,7 @@
             self.send(call, 429, {})
         elif url.path == "/api/kv-range":
             if not query.get("prefix") and not query.get("after"):
-                self.whole_reads += 1
+                self.whole_reads[call.server.node] += 1
             self.send(call, 200, self.range(query))
         elif url.path == "/api/kv-watch":
             self.watch(call, query)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -19,7 +19,6 @@
 #: A request sent later than this after a SIGTERM is answered before the exit.
 PLANNED_STOP_S = 3
 AWAY_S = 0.5          # of the store, before it returns from a copy
-REWRITE_S = 0.3       # from its return until all is written again
 MAX_COPY_STEPS = 7    # age of the copy, 4.9 s
 RECOVERY_S = 30       # limit for the fleet to serve all routes at the end
 NOT_RUN_STATUSES = (408, 421, 429, 503)  # the request was not executed
@@ -37,6 +36,7 @@
             self.return_rng.sample(range(2, steps), returns))
         self.copies = []  # of the store, one a step
         self.returning = []  # threads
+        self.return_lock = threading.Lock()  # held until all is written again
         self.fleet = PlatformFleet(nodes=nodes)
         self.stopping = threading.Event()
         self.lock = threading.Lock()
@@ -181,11 +181,8 @@
         copy = self.copies[-age]
 
         def return_and_rewrite():
-            self.fleet.store.go_away()
-            time.sleep(AWAY_S)
-            newest = self.fleet.store.return_from(copy)
-            time.sleep(REWRITE_S)
-            self.fleet.store.write_again(newest, copy)
+            with self.return_lock:
+                self.fleet.store.play_return(copy, AWAY_S)
         thread = threading.Thread(target=return_and_rewrite, daemon=True)
         thread.start()
         self.returning.append(thread)
