--- a/src/ctl/command_views.cpp
+++ b/src/ctl/command_views.cpp
@@ -85,6 +85,15 @@
   return (*Explanation)["route"].isNull() ? ExitNegativeResult : ExitOk;
 }
 
+/// Whether the revision that \p Options wait for is in effect.
+bool isReached(const CtlOptions &Options, const Json::Value &Config) {
+  const std::uint64_t Highest = Config["highest_revision"].asUInt64();
+  if (!Options.WaitEpoch)
+    return Highest >= Options.WaitRevision;
+  return Revision{Highest, {Config["epoch"].asUInt64()}, {}} >=
+         Revision{Options.WaitRevision, *Options.WaitEpoch, {}};
+}
+
 } // namespace
 
 int runState(const CtlOptions &Options) {
@@ -128,7 +137,7 @@
     if (!State)
       return ExitError;
     const Json::Value &Config = (*State)["config"];
-    if (Config["highest_revision"].asUInt64() >= Options.WaitRevision) {
+    if (isReached(Options, Config)) {
       if (Options.Json) {
         std::cout << jsonText(Config);
         return ExitOk;
@@ -140,7 +149,8 @@
     if (bootNow() >= Deadline) {
       std::cerr << "config: revision " << Options.WaitRevision
                 << " is not in effect; the highest revision is "
-                << Config["highest_revision"].asUInt64() << '\n';
+                << Config["highest_revision"].asUInt64() << " of epoch "
+                << Config["epoch"].asUInt64() << '\n';
       return ExitNegativeResult;
     }
     std::this_thread::sleep_for(PollPeriod);
--- a/src/ctl/ctl_options.cpp
+++ b/src/ctl/ctl_options.cpp
@@ -12,7 +12,8 @@
 ABSL_FLAG(std::string, timeout_ms, "3000",
           "Longest wait for a response, in ms.");
 ABSL_FLAG(std::string, wait, "0",
-          "For config: wait until this revision is in effect.");
+          "For config: wait until this revision, or EPOCH:REVISION, is in "
+          "effect.");
 ABSL_FLAG(std::string, host, "", "For explain route: Host header.");
 ABSL_FLAG(std::string, method, "GET", "For explain route: request method.");
 
@@ -30,6 +31,18 @@
   return Number;
 }
 
+/// Reads REVISION or EPOCH:REVISION.
+void readWaitPosition(const std::string &Text, CtlOptions &Options,
+                      std::vector<Error> &Faults) {
+  const std::size_t Colon = Text.find(':');
+  if (Colon != std::string::npos)
+    Options.WaitEpoch =
+        HistoryEpoch{readNumber("wait", Text.substr(0, Colon), Faults)};
+  Options.WaitRevision = readNumber(
+      "wait", Colon == std::string::npos ? Text : Text.substr(Colon + 1),
+      Faults);
+}
+
 } // namespace
 
 const char *helpText() {
@@ -48,7 +61,8 @@
          "  --node=ADDRESS:PORT    operator port, default 127.0.0.1:9080\n"
          "  --output=json|table    output format, default table\n"
          "  --timeout_ms=N         longest wait in ms, default 3000\n"
-         "  --wait=REVISION        for config: wait until it is in effect\n"
+         "  --wait=[EPOCH:]REVISION\n"
+         "                         for config: wait until it is in effect\n"
          "  --host=, --method=     for explain route: Host header and method\n"
          "\n"
          "Examples:\n"
@@ -57,6 +71,7 @@
          "  siskinctl explain target alloc-03\n"
          "  siskinctl explain route /allocations/17 --method=POST\n"
          "  siskinctl config --wait=1207 --timeout_ms=5000\n"
+         "  siskinctl config --wait=2:1104\n"
          "\n"
          "Exit codes: 0 success; 1 faults, unknown target or timed-out wait;\n"
          "            2 invalid usage or no valid response.\n";
@@ -79,7 +94,7 @@
   Options.Json = Output == "json";
   Options.Timeout =
       Millis(readNumber("timeout_ms", absl::GetFlag(FLAGS_timeout_ms), Faults));
-  Options.WaitRevision = readNumber("wait", absl::GetFlag(FLAGS_wait), Faults);
+  readWaitPosition(absl::GetFlag(FLAGS_wait), Options, Faults);
   Options.Host = absl::GetFlag(FLAGS_host);
   Options.Method = absl::GetFlag(FLAGS_method);
   return Options;
--- a/src/ctl/ctl_options.h
+++ b/src/ctl/ctl_options.h
@@ -5,6 +5,7 @@
 #include "siskinstage/strong_id.h"
 #include "siskinstage/units.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,7 +24,10 @@
   Address Node;      ///< Operator port of the node to query.
   bool Json = false; ///< Prints JSON instead of a table.
   Millis Timeout{};  ///< Longest wait for a response, or for WaitRevision.
-  std::uint64_t WaitRevision = 0;     ///< For config; 0 does not wait.
+  std::uint64_t WaitRevision = 0; ///< For config; 0 does not wait.
+  /// Of WaitRevision; if it is not set, revisions of all epochs are compared by
+  /// their numbers.
+  std::optional<HistoryEpoch> WaitEpoch;
   std::string Host;                   ///< For explain route: Host header.
   std::string Method;                 ///< For explain route.
   std::vector<std::string> Arguments; ///< The command, then its arguments.
--- a/tests/integration/test_store_return.py
+++ b/tests/integration/test_store_return.py
@@ -3,12 +3,13 @@
 the servers write again what they wrote."""
 
 import signal
+import subprocess
 import threading
 import time
 import unittest
 
-from fleet import wait_for
-from platform_fleet import BOUNDS, PlatformFleet, route
+from fleet import BUILD, wait_for
+from platform_fleet import BOUNDS, OPERATOR, PlatformFleet, route
 from platform_revocation import BOUNDS as KEYED_BOUNDS
 from platform_revocation import KEPT_KEY, LIMIT_S, KeyedFleet, KeyLoad
 
@@ -254,6 +255,32 @@
                   for node in self.fleet.nodes}
         self.assertEqual(epochs, {3})
 
+    # Guards against a wait that ends at once, as revisions of an earlier epoch
+    # were higher.
+    def test_siskinctl_waits_for_a_revision_of_an_epoch(self):
+        def wait_at(node, position):
+            return subprocess.run(
+                [BUILD / "siskinctl", f"--node={node}:{OPERATOR}", "config",
+                 f"--wait={position}", "--timeout_ms=500"], text=True,
+                stdout=subprocess.PIPE, stderr=subprocess.PIPE, check=False)
+        node = self.fleet.nodes[0]
+        copy = self.store.copy()
+        self.configure(2)
+        time.sleep(SETTLE_S)
+        newest = wait_at(node, f"1:{self.store.revision}")
+        self.assertEqual(newest.returncode, 0, newest.stderr)
+        self.assertEqual(wait_at(node, "2:1").returncode, 1)
+        self.store.play_return(copy)
+        time.sleep(SETTLE_S)
+        done = wait_at(node, f"2:{self.store.revision}")
+        self.assertEqual(done.returncode, 0, done.stderr)
+        self.assertIn("epoch: 2\n", done.stdout)
+        late = wait_at(node, f"2:{self.store.revision + 1}")
+        self.assertEqual(late.returncode, 1)
+        self.assertIn("of epoch 2", late.stderr)
+        for malformed in ("2:", ":1", "2:1:1", "-2:1"):
+            self.assertEqual(wait_at(node, malformed).returncode, 2, malformed)
+
 
 class KeysAfterStoreReturn(unittest.TestCase):
     def setUp(self):
