Tests of a returning store: nodes out of touch, pages of two epochs, the directory

The test with 24 nodes now checks that no node reads all items twice in a return, that the calls stay inside reads-per-s, and that no request gets 401, 403 or 404 while the nodes are killed; it counted lines of all earlier runs as watchers before.

--- a/tests/integration/test_store_return.py
+++ b/tests/integration/test_store_return.py
@@ -2,6 +2,7 @@
 was written since is lost, its revisions are assigned again, and the operator and
 the servers write again what they wrote."""
 
+import collections
 import signal
 import subprocess
 import threading
@@ -9,7 +10,7 @@
 import unittest
 
 from fleet import BUILD, wait_for
-from platform_fleet import BOUNDS, OPERATOR, PlatformFleet, route
+from platform_fleet import BOUNDS, DOMAINS, OPERATOR, PlatformFleet, route
 from platform_revocation import BOUNDS as KEYED_BOUNDS
 from platform_revocation import KEPT_KEY, LIMIT_S, KeyedFleet, KeyLoad
 
@@ -255,6 +256,44 @@
                   for node in self.fleet.nodes}
         self.assertEqual(epochs, {3})
 
+    # Guards against nodes that keep or pass on the state before two returns, as
+    # they were refused by the store, or reached neither it nor other nodes.
+    def test_nodes_that_are_out_of_touch_through_two_returns(self):
+        *others, refused, cut = self.fleet.nodes
+        left = self.fleet.of_service("orders")[0]
+        for isolated, frozen in ((refused, []), (cut, [*others, refused])):
+            moved = f"/moved{len(frozen)}/"
+            self.store.rejected_addresses = {isolated}
+            for node in frozen:
+                self.fleet.signal(node, signal.SIGSTOP)
+            for _ in range(2):
+                copy = self.store.copy()
+                self.configure(3)
+                time.sleep(SETTLE_S)
+                self.store.play_return(copy)
+            if frozen:
+                self.store.remove(f"servers/{left.id}")
+            self.fleet.configure({"r1": route("/reads/", "reads", "unsafe", 2),
+                                  "r2": route(moved, "orders", "unsafe", 2)})
+            time.sleep(APPLY_S)
+            if not frozen:  # Other nodes tell what the store refuses to tell.
+                self.expect_in_force([moved + "1", "/orders/1"], [200, 404])
+            for node in frozen:
+                self.fleet.signal(node, signal.SIGCONT)
+            self.store.rejected_addresses = set()
+            time.sleep(CONTACT_S)
+            self.expect_in_force([moved + "1", "/orders/1"], [200, 404])
+        time.sleep(BOUNDS["drain-s"])
+        begin = time.monotonic()
+        for _ in range(3):
+            self.expect_in_force([moved + "1"], [200])
+        self.assertEqual(self.runs_since(left, begin), [])
+        for field, name in (("config", "epoch"), ("gossip", "records_digest")):
+            values = {self.fleet.state(node)[field][name]
+                      for node in self.fleet.nodes}
+            self.assertEqual(len(values), 1, name)
+        self.assertEqual(self.fleet.state(cut)["config"]["epoch"], 5)
+
     # Guards against a wait that ends at once, as revisions of an earlier epoch
     # were higher.
     def test_siskinctl_waits_for_a_revision_of_an_epoch(self):
@@ -282,6 +321,37 @@
             self.assertEqual(wait_at(node, malformed).returncode, 2, malformed)
 
 
+class ReadsOfSeveralPages(unittest.TestCase):
+    # Guards against a read that takes some items from one history, and others
+    # from the next one.
+    def test_a_return_between_two_pages(self):
+        with PlatformFleet(nodes=1, servers=3) as fleet:
+            store, node = fleet.store, fleet.nodes[0]
+            lost = min(fleet.servers, key=lambda server: server.id)
+            fleet.signal(node, signal.SIGKILL)
+            fleet.processes[node].wait()
+            entry = store.items[f"servers/{lost.id}"]
+            store.remove(f"servers/{lost.id}")
+            copy = store.copy()
+            store.put_raw(entry["key"], entry["value"])
+            store.whole_reads.clear()
+            read_page = store.range
+
+            def return_before_second_page(query):
+                if query.get("after"):
+                    store.range = read_page
+                    store.return_from(copy)
+                return read_page(query)
+            store.range = return_before_second_page
+            fleet.start(node)
+            fleet.await_ready(node)
+            self.assertEqual(store.whole_reads, {node: 2})
+            self.assertEqual(fleet.state(node)["config"]["epoch"], 2)
+            self.assertNotIn(lost.id, [
+                target["id"] for service in fleet.state(node)["services"]
+                for target in service["targets"]])
+
+
 class KeysAfterStoreReturn(unittest.TestCase):
     def setUp(self):
         self.fleet = PlatformFleet(nodes=6, servers=4,
@@ -339,6 +409,32 @@
         self.assertEqual(load.statuses(begin, time.monotonic()), {401})
         self.assertEqual(kept.statuses(begin, time.monotonic()), {200})
 
+    # Guards against nodes that leave the directory as their configuration is
+    # not confirmed in the new epoch.
+    def test_all_nodes_stay_in_the_directory(self):
+        keyed = KeyedFleet(self.fleet, [])
+        time.sleep(APPLY_S)
+        copy = self.store.copy()
+        for _ in range(3):
+            keyed.publish()
+        time.sleep(SETTLE_S)
+
+        def named():
+            return {(node, zone): self.fleet.resolve(node, zone)
+                    for node in self.fleet.nodes for zone in DOMAINS}
+        before = named()
+        self.assertNotIn([], before.values())
+        newest = return_from(self.store, copy)
+        end = time.monotonic() + LIMIT_S + 2
+        while time.monotonic() < end:
+            if time.monotonic() > end - LIMIT_S:
+                rewrite_config(self.store, newest, copy)
+            self.assertEqual(named(), before)
+            for node in self.fleet.nodes:
+                self.assertFalse(
+                    self.fleet.state(node)["config_view"]["withdrawn"])
+            time.sleep(0.1)
+
     # Guards against a faulty header that hides changes, changes the epoch or
     # fills the log.
     def test_unusable_epochs_change_nothing(self):
@@ -377,6 +473,7 @@
     IN_FORCE_S = 2        # from then on until it is in force at all nodes
     BACK_IN_FORCE_S = 3   # the same at a node that comes back
     KILL_GAP_S = 0.25
+    READS_PER_S = 2000    # calls that all nodes together may make
 
     def setUp(self):
         self.fleet = PlatformFleet(nodes=24, servers=4,
@@ -426,7 +523,7 @@
         with Callers(self.fleet, paths, 4, KEPT_KEY) as callers, \
                 Callers(self.fleet, ["/reads/1"], 1, "old-key") as revoked:
             begin = time.monotonic()
-            reads = self.store.whole_reads
+            reads = collections.Counter(self.store.whole_reads)
             newest = return_from(self.store, copy)
             time.sleep(self.REWRITE_S)
             self.store.write_again(newest, copy)
@@ -435,8 +532,9 @@
             in_force = self.time_to_force(written, others, "/newest/")
             time.sleep(CONTACT_S)
             reads = self.store.whole_reads - reads
-            watchers = sum("is a watcher" in self.fleet.log_of(node)
-                           for node in others)
+            calls = [at for at in self.store.call_times if at > begin]
+            busiest = max(sum(at <= other < at + 1 for other in calls)
+                          for at in calls)
             self.fleet.signal(frozen, signal.SIGCONT)
             back = self.time_to_force(time.monotonic(), [frozen], "/newest/")
             calm = time.monotonic()
@@ -451,13 +549,17 @@
             settled = time.monotonic()
             time.sleep(1)
         print(f"in force after {in_force} s, at the frozen node {back} s after "
-              f"its return; {reads} whole reads, {watchers} watchers so far",
-              flush=True)
+              f"its return; {len(calls)} calls, at most {busiest} in a second, "
+              f"{sum(reads.values())} whole reads by {len(reads)} nodes, "
+              f"at most {max(reads.values())} by one", flush=True)
         self.assertLess(in_force, self.IN_FORCE_S)
         self.assertLess(back, self.BACK_IN_FORCE_S)
-        # The frozen node rejects keys until its configuration is confirmed.
+        self.assertEqual(max(reads.values()), 1)
+        self.assertLess(busiest, self.READS_PER_S)
+        # The frozen node rejects keys until its configuration is confirmed, and
+        # the killed ones until they have one.
         false = [one for one in callers.failed(begin)
-                 if begin + one[0] > settled or
+                 if one[3] != 503 or begin + one[0] > settled or
                  begin + one[0] < calm and one[1] != frozen]
         self.assertEqual(false, [])
         accepted = [one for one in revoked.results
