--- a/tests/integration/test_store_return.py
+++ b/tests/integration/test_store_return.py
@@ -463,6 +463,21 @@
             watching += sum("-1" in line for line in lines)
         self.assertGreater(watching, 0)
 
+    # Guards against reads that confirm nothing, as their responses lack the
+    # header of an epoch that other reads of the same node have seen.
+    def test_an_epoch_that_some_responses_lack(self):
+        KeyedFleet(self.fleet, [])
+        time.sleep(APPLY_S)
+        with Callers(self.fleet, ["/reads/1"], key=KEPT_KEY) as callers:
+            begin = time.monotonic()
+            self.store.bare_prefix = "op/config"
+            self.store.era = 5
+            time.sleep(ENTRY_RETURN_S + LIMIT_S + 2)
+        self.assertEqual(callers.failed(begin), [])
+        for node in self.fleet.nodes:
+            view = self.fleet.state(node)["config_view"]
+            self.assertEqual(view["store_epoch"], 5)
+
 
 class LargeFleetReturn(unittest.TestCase):
     """A copy 5 s old, at a fleet of 24 nodes of which one is frozen meanwhile
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -48,6 +48,7 @@
         self.rejected_addresses = set()  # nodes that get status 429
         self.old_revision = None  # reads return this state, if it is set
         self.era = 1              # header of all responses, if it is set
+        self.bare_prefix = None   # reads of this prefix have no such header
         self.calls = 0
         self.call_times = []  # time.monotonic()
         self.whole_reads = collections.Counter()  # by node
@@ -261,7 +262,9 @@
         text = json.dumps(body).encode()
         call.send_response(status)
         call.send_header("Content-Type", "application/json")
-        if self.era is not None:
+        query = urllib.parse.parse_qs(urllib.parse.urlsplit(call.path).query)
+        bare = query.get("prefix") == [self.bare_prefix]
+        if self.era is not None and not bare:
             call.send_header("Store-Era", str(self.era))
         call.send_header("Content-Length", str(len(text)))
         call.end_headers()
