--- a/tests/property/store_return_property_test.cpp
+++ b/tests/property/store_return_property_test.cpp
@@ -4,6 +4,7 @@
 #include "core/records/record_parser.h"
 #include "core/records/record_store.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -52,6 +53,8 @@
   CompleteLists Lists;
   Revision Seen; ///< Position of the platform in the last read.
   int FrozenUntil = 0;
+  int RefusedUntil = 0; ///< Until then, the platform rejects its reads.
+  int CutUntil = 0;     ///< Until then, no peer is reached.
 };
 
 /// A fleet that reads a platform which returns from older copies, and whose
@@ -128,6 +131,11 @@
     Node &Disturbed = this->Nodes[this->pick(this->Nodes.size())];
     if (this->chance(0.02))
       Disturbed.FrozenUntil = this->Now + 5 + static_cast<int>(this->pick(40));
+    Node &Separated = this->Nodes[this->pick(this->Nodes.size())];
+    if (this->chance(0.02))
+      Separated.RefusedUntil = this->Now + 5 + static_cast<int>(this->pick(60));
+    if (this->chance(0.02))
+      Separated.CutUntil = this->Now + 5 + static_cast<int>(this->pick(60));
     // One node at least keeps what the platform has lost.
     if (this->chance(0.02) && &Disturbed != &this->Nodes.front())
       Disturbed = Node();
@@ -179,10 +187,12 @@
   }
 
   void act(Node &Reader) {
-    if (this->chance(0.2))
+    if (this->Now >= Reader.RefusedUntil && this->chance(0.2))
       this->read(Reader);
     Node &Peer = this->Nodes[this->pick(this->Nodes.size())];
-    if (this->Now >= Peer.FrozenUntil && this->chance(0.5))
+    if (this->Now >=
+            std::max({Peer.FrozenUntil, Peer.CutUntil, Reader.CutUntil}) &&
+        this->chance(0.5))
       this->exchange(Reader, Peer);
   }
 
