--- a/src/node/node_context.cpp
+++ b/src/node/node_context.cpp
@@ -52,8 +52,13 @@
 }
 
 void NodeContext::postCommand(GossipCommand Command) {
-  this->GossipCommands.push(std::move(Command));
+  this->tryPostCommand(std::move(Command));
+}
+
+bool NodeContext::tryPostCommand(GossipCommand Command) {
+  const bool Posted = this->GossipCommands.push(std::move(Command));
   this->GossipWakeup.notify();
+  return Posted;
 }
 
 void NodeContext::postSyncTask(SyncTask Task) {
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -87,6 +87,8 @@
   bool tryPostUpdate(ConfigUpdate Update);
   /// Passes \p Command to the gossip thread; it is dropped if the ring is full.
   void postCommand(GossipCommand Command);
+  /// The same. \returns false if the ring was full and it was dropped.
+  bool tryPostCommand(GossipCommand Command);
   /// Passes \p Task to the sync thread; it is dropped if the queue is full.
   void postSyncTask(SyncTask Task);
 };
