A return of the store is dated only by nodes that were there before it

Cause: a node that started long after a return, and took over records of two epochs from its peers in order, noted the present time as that of the return and told it to all others, which then kept missing entries for 2.2 s.

--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -106,7 +106,6 @@
   this->SnapshotChanged = true;
   if (Before.Epoch == HistoryEpoch{})
     return; // The first record of the platform.
-  this->Context.PlatformHistory.note(After.Epoch, bootNow());
   logEvent(LogLevel::Info, "the platform's history has a new epoch",
            {{"epoch_before", std::to_string(Before.Epoch.Value)},
             {"epoch", std::to_string(After.Epoch.Value)},
