--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -71,13 +71,23 @@
   if (Batch.ListsOutdated)
     this->Lists.clear();
   if (Batch.Complete)
-    for (const Record &Deletion :
-         this->Lists.add(*Batch.Complete, this->records()))
-      this->adopt(Deletion, {});
+    this->applyList(*Batch.Complete);
   this->Services.assembleStale();
   this->Readiness.onRecords(Batch);
 }
 
+void DecisionLoop::applyList(const RecordList &List) {
+  const auto Deletions = this->Lists.add(List, this->records());
+  for (const Record &Deletion : Deletions)
+    this->adopt(Deletion, {});
+  logEvent(LogLevel::Info,
+           "entries that the platform store lacks count as deleted",
+           {{"revision", std::to_string(List.AsOf.Value)},
+            {"epoch", std::to_string(List.AsOf.Epoch.Value)},
+            {"kept", std::to_string(List.Names.size())},
+            {"dropped", std::to_string(Deletions.size())}});
+}
+
 void DecisionLoop::adopt(const Record &New, const FailureDomain &From) {
   const Record *Current = this->records().find(New.Key);
   const auto Old =
--- a/src/node/decision_loop.h
+++ b/src/node/decision_loop.h
@@ -46,6 +46,8 @@
   void apply(InstanceBatch &Batch);
   void apply(MemberBatch &Batch);
   void apply(ReceivedReport &Received);
+  /// Applies a complete list of the platform: what it lacks was deleted.
+  void applyList(const RecordList &List);
   /// Applies \p New if it is newer than the record in force.
   /// \param From domain of the node that sent the record; empty if it came
   ///        from the platform.
