--- a/tests/unit/removal_grace_test.cpp
+++ b/tests/unit/removal_grace_test.cpp
@@ -50,6 +50,16 @@
   EXPECT_EQ(Grace.end(), at(8200));
 }
 
+// Guards against a held list that counts as another reason ends earlier.
+TEST(RemovalGrace, ALaterEndHolds) {
+  RemovalGrace Grace(Length);
+  Grace.beginReading(at(0));
+  Grace.hold(at(5000));
+  Grace.hold(at(700));
+  EXPECT_FALSE(Grace.noteReturn(at(100), at(200)));
+  EXPECT_EQ(Grace.end(), at(5000));
+}
+
 // Guards against a failure that counts when the node reads again much later.
 TEST(RemovalGrace, AFailureBeforeReadingEndedDoesNotCount) {
   RemovalGrace Grace(Length);
