Logs tell by which way a record came and what was read from a peer

"record ... applied" names the peer and the way (read, update, announcement, comparison); "read from a peer" and "reading from a peer failed" name what was read and took_ms.

--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -11,8 +11,22 @@
 
 namespace {
 
-std::string sourceName(const FailureDomain &From) {
-  return From.empty() ? "platform" : "node of " + From.str();
+std::string sourceName(const RecordOrigin &From) {
+  return From.Domain.empty() ? "platform" : "node of " + From.Domain.str();
+}
+
+const char *arrivalName(RecordOrigin::Way Arrival) {
+  switch (Arrival) {
+  case RecordOrigin::Way::Platform:
+    return "read";
+  case RecordOrigin::Way::Update:
+    return "update";
+  case RecordOrigin::Way::Announcement:
+    return "announcement";
+  case RecordOrigin::Way::Comparison:
+    return "comparison";
+  }
+  return "";
 }
 
 } // namespace
@@ -59,14 +73,14 @@
 }
 
 void DecisionLoop::apply(RecordBatch &Batch) {
-  const bool FromPeer = !Batch.SourceDomain.empty();
+  const bool FromPeer = !Batch.Origin.Domain.empty();
   for (const Record &New : Batch.Records) {
     const auto Deletion = FromPeer ? this->findDeletion(New) : std::nullopt;
     // The sender has no tombstone either, so that it is sent to all nodes.
     if (Deletion)
       this->adopt(*Deletion, {});
     else
-      this->adopt(New, Batch.SourceDomain);
+      this->adopt(New, Batch.Origin);
   }
   if (Batch.ListsOutdated)
     this->Lists.clear();
@@ -88,7 +102,7 @@
             {"dropped", std::to_string(Deletions.size())}});
 }
 
-void DecisionLoop::adopt(const Record &New, const FailureDomain &From) {
+void DecisionLoop::adopt(const Record &New, const RecordOrigin &From) {
   const Record *Current = this->records().find(New.Key);
   const auto Old =
       Current == nullptr ? std::nullopt : std::optional<Record>(*Current);
@@ -104,12 +118,14 @@
   logEvent(LogLevel::Info, "record " + New.Key.text() + " applied",
            {{"revision", std::to_string(New.Rev.Value)},
             {"epoch", std::to_string(New.Rev.Epoch.Value)},
-            {"source", sourceName(From)}});
-  this->broadcastRecord(New, From);
+            {"source", sourceName(From)},
+            {"peer", From.Peer.str()},
+            {"way", arrivalName(From.Arrival)}});
+  this->broadcastRecord(New, From.Domain);
 }
 
 void DecisionLoop::followEpoch(const Revision &Before, const Record &New,
-                               const FailureDomain &From) {
+                               const RecordOrigin &From) {
   const Revision After = this->records().highest();
   if (After.Epoch == Before.Epoch)
     return;
--- a/src/node/decision_loop.h
+++ b/src/node/decision_loop.h
@@ -49,14 +49,11 @@
   /// Applies a complete list of the platform: what it lacks was deleted.
   void applyList(const RecordList &List);
   /// Applies \p New if it is newer than the record in force.
-  /// \param From domain of the node that sent the record; empty if it came
-  ///        from the platform.
-  void adopt(const Record &New, const FailureDomain &From);
+  void adopt(const Record &New, const RecordOrigin &From);
   /// Logs a new epoch of the platform's history.
   /// \param Before the highest position before \p New was adopted.
-  /// \param From see adopt().
   void followEpoch(const Revision &Before, const Record &New,
-                   const FailureDomain &From);
+                   const RecordOrigin &From);
   /// The tombstone to apply in place of a record of another node, if the
   /// platform has deleted that record.
   [[nodiscard]] std::optional<Record> findDeletion(const Record &New) const;
--- a/src/node/fleet/gossip_loop.cpp
+++ b/src/node/fleet/gossip_loop.cpp
@@ -211,7 +211,7 @@
     return;
   }
   RecordBatch Batch;
-  Batch.SourceDomain = From.Domain;
+  Batch.Origin = {RecordOrigin::Way::Update, From.Endpoint, From.Domain};
   importRecordText(this->Context, Update.Text, From.Endpoint, Batch);
   this->Context.tryPostUpdate(Batch);
 }
--- a/src/node/records/config_update.h
+++ b/src/node/records/config_update.h
@@ -13,6 +13,19 @@
 
 namespace siskinstage {
 
+/// By which way records came to this node.
+struct RecordOrigin {
+  enum class Way {
+    Platform,     ///< Read by this node.
+    Update,       ///< In a peer's message.
+    Announcement, ///< Read from a peer that announced the record.
+    Comparison,   ///< Read from a peer whose digests differ.
+  };
+  Way Arrival = Way::Platform;
+  Address Peer;         ///< Empty if they came from the platform.
+  FailureDomain Domain; ///< Of the peer; empty if from the platform.
+};
+
 /// Validated records.
 struct RecordBatch {
   std::vector<Record> Records;
@@ -23,9 +36,7 @@
   /// This node no longer follows the platform, so that earlier lists are
   /// forgotten.
   bool ListsOutdated = false;
-  /// Domain of the node that sent the records; empty if they came from the
-  /// platform.
-  FailureDomain SourceDomain;
+  RecordOrigin Origin;
   /// Set if all revisions were compared with a node of this domain.
   FailureDomain ComparedDomain;
 };
--- a/src/node/records/peer_sync.cpp
+++ b/src/node/records/peer_sync.cpp
@@ -17,6 +17,18 @@
 /// Longest wait for the decision thread, before records are compared.
 constexpr Millis MaxApplyWait{500};
 
+std::string taskName(const SyncTask &Task) {
+  switch (Task.TaskKind) {
+  case SyncTask::Kind::Records:
+    return "records that differ";
+  case SyncTask::Kind::OneRecord:
+    return "record " + Task.Key.text();
+  case SyncTask::Kind::Members:
+    return "members";
+  }
+  return "";
+}
+
 } // namespace
 
 void PeerSync::run() {
@@ -31,9 +43,20 @@
 }
 
 void PeerSync::tryTask(const SyncTask &Task) {
+  const Instant Start = bootNow();
   const auto Finished = this->runTask(Task);
-  if (!Finished)
-    logError(LogLevel::Info, "reading from a peer failed", Finished.error());
+  const auto Took = std::chrono::duration_cast<Millis>(bootNow() - Start);
+  std::vector<LogField> Fields = {{"peer", Task.Peer.str()},
+                                  {"what", taskName(Task)},
+                                  {"took_ms", std::to_string(Took.count())}};
+  if (Finished) {
+    if (Task.TaskKind != SyncTask::Kind::Members)
+      logEvent(LogLevel::Info, "read from a peer", std::move(Fields));
+    return;
+  }
+  Fields.push_back({"step", stepName(Finished.error().FailedStep)});
+  Fields.push_back({"reason", Finished.error().Reason});
+  logEvent(LogLevel::Info, "reading from a peer failed", std::move(Fields));
 }
 
 Result<void> PeerSync::runTask(const SyncTask &Task) {
@@ -118,7 +141,10 @@
   if (!Texts)
     return tl::unexpected<Error>(Texts.error());
   RecordBatch Batch;
-  Batch.SourceDomain = Task.Domain;
+  const auto Way = Task.TaskKind == SyncTask::Kind::OneRecord
+                       ? RecordOrigin::Way::Announcement
+                       : RecordOrigin::Way::Comparison;
+  Batch.Origin = {Way, Task.Peer, Task.Domain};
   for (const Json::Value &Text : *Texts)
     if (Text.isString())
       importRecordText(this->Context, Text.asString(), Peer, Batch);
