Long responses to nodes wait for a thread instead of being cut

Cause: while all other threads for nodes are busy, the last free one does nothing that may block, so its write limit is zero. It served peers' requests all the same: a response longer than what the socket takes at once was cut, and the connection closed.

Change: such a request waits for a thread, like one with a key. A response that is not written whole is logged.

--- a/src/node/callers/response_writer.cpp
+++ b/src/node/callers/response_writer.cpp
@@ -1,6 +1,7 @@
 #include "node/callers/response_writer.h"
 #include "net/boot_time.h"
 #include "node/drain_state.h"
+#include "node/operators/log.h"
 
 #include <Poco/NumberFormatter.h>
 
@@ -56,10 +57,18 @@
 }
 
 void ResponseWriter::send(std::string_view Bytes) {
-  const auto Sent = this->Caller.write(Bytes, bootNow() + this->WriteTime);
+  std::size_t SentBytes = 0;
+  const auto Sent =
+      this->Caller.write(Bytes, bootNow() + this->WriteTime, SentBytes);
   if (Sent)
     return;
   this->Close = true;
+  logEvent(LogLevel::Info,
+           "the response to request " + this->Id.str() + " is not complete",
+           {{"peer", this->Caller.peer()},
+            {"sent_bytes", std::to_string(SentBytes)},
+            {"bytes", std::to_string(Bytes.size())},
+            {"reason", Sent.error().Reason}});
 }
 
 void ResponseWriter::sendRefusal(const Refusal &Refused) {
--- a/src/node/requests/request_flow.cpp
+++ b/src/node/requests/request_flow.cpp
@@ -136,9 +136,10 @@
   const bool Keyed = this->Request.Key.has_value();
   const bool ForPeer = this->Request.Path.rfind(PeerPathPrefix, 0) == 0;
   const bool ForEntries = this->Request.Path == EntriesPath;
-  // These keep their thread to their end.
+  // These keep their thread to their end. Responses to nodes may be longer than
+  // what a socket takes at once.
   const bool Blocks =
-      Keyed || ((ForPeer || ForEntries) && !this->Body.complete());
+      Keyed || ForPeer || (ForEntries && !this->Body.complete());
   if (Blocks && !this->MayBlock)
     return this->awaitThread(
         this->Request.Arrived +
