Nodes request lost records with one message, not by a comparison alone

Cause: an update is sent to a node once, in a datagram. What makes up for a loss is the comparison of all records: at most once a second, over several connections one after another, on the thread that also reads long records. A read that hangs or a busy link holds it for seconds.

Change: a node whose digest differs from that of a message asks its sender for the records that were applied lately, except those whose marks (32-bit hashes of key and revision) it names; the sender sends them as updates. A request goes out at most each 150 ms, and needs neither a connection nor the thread. All records are compared once digests have differed for 300 ms, as before for records that are older than 10 s. Requests also pass changes on where the large nodes of a domain are dead.

--- a/include/siskinstage/fleet_config.h
+++ b/include/siskinstage/fleet_config.h
@@ -100,6 +100,20 @@
 inline constexpr std::size_t MaxDirectUpdateMembersLarge = 120;
 inline constexpr std::size_t MaxInlineRecordBytes = 700;
 inline constexpr std::chrono::milliseconds RecordSyncPeriod = 1s;
+/// All records are compared if digests differ for this long: requests for the
+/// latest records, one in each RecordRequestPeriod, have not helped.
+inline constexpr std::chrono::milliseconds RecordCompareDelay = 300ms;
+/// Two of three gossip messages of a node find it elapsed.
+inline constexpr std::chrono::milliseconds RecordRequestPeriod = 150ms;
+/// How long a node sends a record to others that lack it, several times as long
+/// as a change may take.
+inline constexpr std::chrono::milliseconds RecentRecordTime = 10s;
+/// As many as change in RecentRecordTime while the targets of a service are
+/// replaced.
+inline constexpr std::size_t MaxRecentRecords = 128;
+/// Marks of records in one message, and records that it may request.
+inline constexpr std::size_t MaxRecordMarks = 64;
+inline constexpr std::size_t MaxRequestedRecords = 16;
 inline constexpr std::size_t DigestBuckets = 256;
 inline constexpr std::chrono::milliseconds PeerCallTimeout = 2s;
 /// A node that has compared its records with peers in this many failure domains
--- a/src/core/fleet/gossip_codec.cpp
+++ b/src/core/fleet/gossip_codec.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::size_t MaxNameBytes = 200;
 constexpr std::size_t MaxUpdates = 64;
+constexpr const char *RecordRequestKind = "lacking";
 /// No machine runs longer without a restart; larger values would overflow.
 constexpr Millis MaxAge = std::chrono::years(100);
 /// The first version has no capacity and no flag for an unreachable platform.
@@ -60,6 +61,12 @@
     writeRevision(Body.Rev, "r", this->Output);
     this->Output["x"] = Body.Text;
   }
+  void operator()(const RecordRequest &Body) const {
+    this->Output["k"] = RecordRequestKind;
+    Json::Value &Known = this->Output["l"] = Json::Value(Json::arrayValue);
+    for (const std::uint32_t Mark : Body.Known)
+      Known.append(Mark);
+  }
   void operator()(const TargetReport &Body) const {
     this->Output["k"] = "target";
     this->Output["v"] = Body.Service.str();
@@ -127,6 +134,19 @@
       Value["x"].asString()};
 }
 
+Result<GossipBody> readRecordRequest(const Json::Value &Value) {
+  const Json::Value &Known = Value["l"];
+  if (!Known.isArray() || Known.size() > config::MaxRecordMarks)
+    return malformed("l");
+  RecordRequest Request;
+  for (const Json::Value &Mark : Known) {
+    if (!Mark.isUInt())
+      return malformed("l");
+    Request.Known.push_back(Mark.asUInt());
+  }
+  return Request;
+}
+
 Result<GossipBody> readTargetReport(const Json::Value &Value) {
   constexpr int KindCount = static_cast<int>(ReportKind::Ejected) + 1;
   if (!isText(Value["v"]))
@@ -221,6 +241,8 @@
   const std::string Kind = Value["k"].asString();
   if (Kind == "record")
     return readRecordUpdate(Value);
+  if (Kind == RecordRequestKind)
+    return readRecordRequest(Value);
   if (Kind == "target")
     return readTargetReport(Value);
   if (Kind == "gray")
--- a/src/core/fleet/gossip_message.h
+++ b/src/core/fleet/gossip_message.h
@@ -41,6 +41,12 @@
   std::string Text; ///< The record as JSON if short, else empty.
 };
 
+/// Requests the records that were applied lately at the receiver, except those
+/// that the sender has.
+struct RecordRequest {
+  std::vector<std::uint32_t> Known; ///< See recordMark().
+};
+
 /// Reports on one target, or withdraws an earlier report.
 struct TargetReport {
   ServiceName Service;
@@ -98,7 +104,7 @@
     std::variant<Ping, PingRequest, Ack, RecordUpdate, TargetReport,
                  GrayEstimateUpdate, CrashReport, RateLimitUpdate,
                  ConfirmationRequest, ConfirmationResponse, QuotaRequest,
-                 QuotaResponse>;
+                 QuotaResponse, RecordRequest>;
 
 /// Digest that a node sends while it lacks the records of the platform.
 inline constexpr std::uint64_t NoRecordsDigest = 0;
--- a/src/node/fleet/gossip_loop.cpp
+++ b/src/node/fleet/gossip_loop.cpp
@@ -138,6 +138,8 @@
   this->send(this->Members.receive(Message, bootNow()));
   if (const auto *Update = std::get_if<RecordUpdate>(&Message.Body))
     this->handleRecord(*Update, Message.From);
+  else if (const auto *Request = std::get_if<RecordRequest>(&Message.Body))
+    this->handleRecordRequest(*Request, Message.From);
   else if (const auto *Report = std::get_if<TargetReport>(&Message.Body))
     this->Context.tryPostUpdate(
         ReceivedReport{Report->Service, Report->Target,
@@ -216,20 +218,46 @@
   this->Context.tryPostUpdate(Batch);
 }
 
+void GossipLoop::handleRecordRequest(const RecordRequest &Request,
+                                     const Member &From) {
+  for (const RecordUpdate &Update :
+       this->Recent.missingFrom(Request.Known, bootNow()))
+    this->send(From.Endpoint, this->Members.compose(Update));
+}
+
+void GossipLoop::compareRecordDigests(const GossipMessage &Message,
+                                      Instant Now) {
+  if (Message.RecordsDigest == NoRecordsDigest)
+    return;
+  const SyncTask Comparison = {SyncTask::Kind::Records,
+                               Message.From.Endpoint,
+                               Message.From.Domain,
+                               {},
+                               {}};
+  if (!this->Context.Snapshots.get()->Configured) {
+    if (Now < this->NextRecordSync)
+      return;
+    this->NextRecordSync = Now + config::GossipAckTimeout;
+    this->Context.postSyncTask(Comparison);
+    return;
+  }
+  switch (this->Repair.onDigest(
+      Message.RecordsDigest != this->Context.Records.digest(), Now)) {
+  case RecordRepair::Action::None:
+    return;
+  case RecordRepair::Action::Request:
+    this->send(Message.From.Endpoint,
+               this->Members.compose(RecordRequest{this->Recent.marks(Now)}));
+    return;
+  case RecordRepair::Action::Compare:
+    this->Context.postSyncTask(Comparison);
+    return;
+  }
+}
+
 void GossipLoop::compareDigests(const GossipMessage &Message) {
   const Instant Now = bootNow();
-  const bool Starting = !this->Context.Snapshots.get()->Configured;
-  const bool Comparable = Message.RecordsDigest != NoRecordsDigest;
-  const bool Differ = Message.RecordsDigest != this->Context.Records.digest();
-  if (Comparable && (Differ || Starting) && Now >= this->NextRecordSync) {
-    this->NextRecordSync =
-        Now + (Starting ? config::GossipAckTimeout : config::RecordSyncPeriod);
-    this->Context.postSyncTask({SyncTask::Kind::Records,
-                                Message.From.Endpoint,
-                                Message.From.Domain,
-                                {},
-                                {}});
-  }
+  this->compareRecordDigests(Message, Now);
   if (Message.MembersDigest == this->Members.digest() ||
       Now < this->NextMemberSync)
     return;
@@ -249,6 +277,7 @@
 }
 
 void GossipLoop::execute(const BroadcastRecord &Command) {
+  this->Recent.add(Command.Update, bootNow());
   for (const Address &To :
        broadcastRecipients(this->Members.live(), this->Members.self(),
                            Command.Source, this->RandomSource))
--- a/src/node/fleet/gossip_loop.h
+++ b/src/node/fleet/gossip_loop.h
@@ -3,6 +3,8 @@
 
 #include "core/fleet/gossip_seal.h"
 #include "core/fleet/membership.h"
+#include "core/records/recent_records.h"
+#include "core/records/record_repair.h"
 #include "core/requests/fleet_quota.h"
 #include "node/fleet/confirmation_exchange.h"
 #include "node/fleet/gossip_command.h"
@@ -45,7 +47,9 @@
   Instant NextPublish;
   /// Earliest time to publish a view with changes.
   Instant NextChangePublish;
-  Instant NextRecordSync;
+  RecentRecords Recent;
+  RecordRepair Repair;
+  Instant NextRecordSync; ///< While the node starts.
   Instant NextMemberSync;
   Duration MemberSyncInterval = config::MinMemberSyncInterval;
   bool LeaveSent = false;
@@ -61,7 +65,9 @@
                           const Member &From);
   void handleRateLimit(const RateLimitUpdate &Update, const Member &From);
   void send(std::vector<OutgoingQuota> Out);
+  void handleRecordRequest(const RecordRequest &Request, const Member &From);
   void compareDigests(const GossipMessage &Message);
+  void compareRecordDigests(const GossipMessage &Message, Instant Now);
   void executeCommands();
   void execute(const BroadcastRecord &Command);
   void execute(const SendReport &Command);
--- a/tests/unit/gossip_test.cpp
+++ b/tests/unit/gossip_test.cpp
@@ -30,6 +30,8 @@
       Ack{3},
       RecordUpdate{{RecordKind::Route, "r"}, {4}, "{}"},
       RecordUpdate{{RecordKind::Route, "r"}, {4, {2}, {9, 5, true}}, "{}"},
+      RecordRequest{{}},
+      RecordRequest{{0, 7, ~0U}},
       TargetReport{ServiceName("s"), TargetId("t"), ReportKind::Failing, 2},
       GrayEstimateUpdate{ServiceName("s"), TargetId("t"), 93, 450, 60},
       CrashReport{{9}, TargetId("t")},
