--- a/src/node/records/peer_sync.cpp
+++ b/src/node/records/peer_sync.cpp
@@ -51,12 +51,12 @@
                                   {"took_ms", std::to_string(Took.count())}};
   if (Finished) {
     if (Task.TaskKind != SyncTask::Kind::Members)
-      logEvent(LogLevel::Info, "read from a peer", std::move(Fields));
+      logEvent(LogLevel::Info, "read from a peer", Fields);
     return;
   }
   Fields.push_back({"step", stepName(Finished.error().FailedStep)});
   Fields.push_back({"reason", Finished.error().Reason});
-  logEvent(LogLevel::Info, "reading from a peer failed", std::move(Fields));
+  logEvent(LogLevel::Info, "reading from a peer failed", Fields);
 }
 
 Result<void> PeerSync::runTask(const SyncTask &Task) {
