A message to several nodes is encoded and signed once

Cause: a large node sends each change to up to 77 others of its domain, and encoded, signed and wrapped the message anew for each of them.

Change: records, reports, estimates, rate limits and crashes are encoded once for all recipients. Replay windows are per receiver, so one datagram may go to several nodes.

--- a/src/node/fleet/gossip_loop.cpp
+++ b/src/node/fleet/gossip_loop.cpp
@@ -278,25 +278,22 @@
 
 void GossipLoop::execute(const BroadcastRecord &Command) {
   this->Recent.add(Command.Update, bootNow());
-  for (const Address &To :
-       broadcastRecipients(this->Members.live(), this->Members.self(),
-                           Command.Source, this->RandomSource))
-    this->send(To, this->Members.compose(Command.Update));
+  this->sendToAll(broadcastRecipients(this->Members.live(),
+                                      this->Members.self(), Command.Source,
+                                      this->RandomSource),
+                  Command.Update);
 }
 
 void GossipLoop::execute(const SendReport &Command) {
-  for (const Address &To : Command.Recipients)
-    this->send(To, this->Members.compose(Command.Report));
+  this->sendToAll(Command.Recipients, Command.Report);
 }
 
 void GossipLoop::execute(const SendGrayEstimate &Command) {
-  for (const Address &To : *Command.Recipients)
-    this->send(To, this->Members.compose(Command.Estimate));
+  this->sendToAll(*Command.Recipients, Command.Estimate);
 }
 
 void GossipLoop::execute(const SendRateLimit &Command) {
-  for (const Address &To : *Command.Recipients)
-    this->send(To, this->Members.compose(Command.Update));
+  this->sendToAll(*Command.Recipients, Command.Update);
 }
 
 void GossipLoop::execute(const SetSeeds &Command) {
@@ -312,8 +309,7 @@
 }
 
 void GossipLoop::execute(const CrashReport &Command) {
-  for (const Address &To : this->Members.sample(config::UpdateFanout))
-    this->send(To, this->Members.compose(Command));
+  this->sendToAll(this->Members.sample(config::UpdateFanout), Command);
 }
 
 void GossipLoop::execute(const std::vector<Member> &Table) {
@@ -339,6 +335,20 @@
 }
 
 void GossipLoop::send(const Address &To, GossipMessage Message) {
+  this->transmit(To, this->encode(std::move(Message)));
+}
+
+void GossipLoop::sendToAll(const std::vector<Address> &Recipients,
+                           GossipBody Body) {
+  if (Recipients.empty())
+    return;
+  const std::string Datagram =
+      this->encode(this->Members.compose(std::move(Body)));
+  for (const Address &To : Recipients)
+    this->transmit(To, Datagram);
+}
+
+std::string GossipLoop::encode(GossipMessage Message) {
   // Without the records of the platform there is nothing to compare with.
   Message.RecordsDigest = this->Context.Snapshots.get()->HasPlatformRecords
                               ? this->Context.Records.digest()
@@ -354,6 +364,10 @@
     Datagram = this->Seal.seal(gossipNotification(encodeGossip(Message)),
                                wallClockMs());
   }
+  return Datagram;
+}
+
+void GossipLoop::transmit(const Address &To, const std::string &Datagram) {
   try {
     auto [Found, New] = this->ResolvedAddresses.try_emplace(To);
     if (New)
--- a/src/node/fleet/gossip_loop.h
+++ b/src/node/fleet/gossip_loop.h
@@ -79,6 +79,12 @@
   void execute(const std::vector<Member> &Table);
   void send(const std::vector<OutgoingGossip> &Out);
   void send(const Address &To, GossipMessage Message);
+  /// Sends one message to all \p Recipients. Encoding and signing a message
+  /// takes many times as long as sending it.
+  void sendToAll(const std::vector<Address> &Recipients, GossipBody Body);
+  /// Completes and signs a message.
+  std::string encode(GossipMessage Message);
+  void transmit(const Address &To, const std::string &Datagram);
   /// Makes the members visible to the other threads.
   void publishView(Instant Now);
 };
--- a/tests/integration/test_long_records.py
+++ b/tests/integration/test_long_records.py
@@ -23,6 +23,7 @@
 #: Garbage that fills the receive buffer of a frozen node.
 GARBAGE = [b"x" * 1400] * 4000
 ANNOUNCED_S = 0.2  # before the freeze
+JOINED_S = 0.4  # all nodes know of a new member
 FROZEN_S = 0.5
 #: From the thaw; the change is then in force within 2 s.
 REPAIRED_S = 1.2
@@ -79,6 +80,23 @@
         each = (read_bytes() - before) / NODES
         self.assertLess(each, MAX_SENT_FRACTION * len(json.dumps(self.routes)))
 
+    # Large nodes had no processor time left while many targets started.
+    def test_an_update_is_encoded_once_for_all_recipients(self):
+        server = self.fleet.of_service("reads")[0]
+        members = [PlayedMember(f"{NETWORK}.1.{99 - number}", DOMAINS[0])
+                   for number in range(2)]
+        for member in members:
+            self.addCleanup(member.__exit__)
+            for node in self.fleet.nodes:
+                member.join(node)
+        time.sleep(JOINED_S)
+        self.fleet.register(server, state="draining")
+        updates = [{datagram for datagram in member.received(FROZEN_S)
+                    if b'"record"' in datagram and server.id.encode()
+                    in datagram} for member in members]
+        self.assertTrue(all(updates), [len(found) for found in updates])
+        self.assertEqual(updates[0], updates[1])
+
     # A comparison of all records, which waited for the read, made up for it.
     def test_a_lost_update_waits_for_no_read_that_hangs(self):
         node = self.not_watching()
--- a/tests/platform/played_member.py
+++ b/tests/platform/played_member.py
@@ -31,6 +31,7 @@
         self.counter = itertools.count(1)
         self.datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.datagrams.bind((address, CONTROL))
+        self.datagrams.settimeout(0.1)
         self.listener = socket.create_server((address, CONTROL), backlog=128)
 
     def __enter__(self):
@@ -52,6 +53,20 @@
         self.datagrams.sendto(header + mac.encode() + b"\n" + payload,
                               (node, CONTROL))
 
+    def join(self, node):
+        """Pings a node, which then takes it for a member."""
+        self.send(node, {"k": "ping", "s": 1})
+
+    def received(self, seconds):
+        """The datagrams that arrive meanwhile."""
+        end, datagrams = time.monotonic() + seconds, []
+        while time.monotonic() < end:
+            try:
+                datagrams.append(self.datagrams.recv(65536))
+            except TimeoutError:
+                pass
+        return datagrams
+
     def announce(self, node, kind, name, revision):
         """Announces a record that is too long for a message.
 
