Small nodes no longer forward each record that a large node sent to all

Cause: in a domain with large instances, which send to all, each small node still sent each record on to one random node, as a guard against losses: it copied the member table, encoded and signed a datagram, and each node checked one more. Where a small node was the first of its domain, the record likewise went to one random node only, and from there to one more.

Change: requests for lost records make up for losses, so that a record from a large node is not forwarded. One from a small node shows that the large ones may be lost: it goes to four random small nodes, and to the large ones if it came from another domain. The member table is copied only when it has changed. In a domain of more than 120 nodes all forward as before; large ones there sent to a single node, now to four.

--- a/src/core/records/record_broadcast.cpp
+++ b/src/core/records/record_broadcast.cpp
@@ -9,60 +9,67 @@
 
 namespace {
 
-/// Reduces \p Members to \p Count random ones.
-void reduceToSample(std::vector<Address> &Members, std::size_t Count,
-                    Random &Rng) {
-  for (std::size_t I = 0; I < std::min(Count, Members.size()); ++I) {
-    const auto Remaining = static_cast<std::uint32_t>(Members.size() - I);
-    std::swap(Members[I], Members[I + Rng.below(Remaining)]);
-  }
-  Members.resize(std::min(Count, Members.size()));
+bool isLarge(const Member &Node, std::uint32_t Largest) {
+  return Node.Capacity * config::LargeCapacityFactor >= Largest;
 }
 
-/// Removes all members but those of large capacity: only their links can carry
-/// a long record to the whole domain.
-void keepLargeMembers(std::vector<Member> &Members) {
+std::uint32_t largestCapacity(const std::vector<const Member *> &Members) {
   std::uint32_t Largest = 0;
-  for (const Member &Node : Members)
-    Largest = std::max(Largest, Node.Capacity);
-  std::erase_if(Members, [&](const Member &Node) {
-    return Node.Capacity * config::LargeCapacityFactor < Largest;
-  });
+  for (const Member *Node : Members)
+    Largest = std::max(Largest, Node->Capacity);
+  return Largest;
 }
 
-std::vector<Address> addressesOf(const std::vector<Member> &Members) {
-  std::vector<Address> Addresses;
-  Addresses.reserve(Members.size());
-  for (const Member &Node : Members)
-    Addresses.push_back(Node.Endpoint);
-  return Addresses;
+/// Adds the addresses of \p Count random ones of \p Members to \p Recipients.
+void addSample(std::vector<const Member *> Members, std::size_t Count,
+               Random &Rng, std::vector<Address> &Recipients) {
+  for (std::size_t I = 0; I < std::min(Count, Members.size()); ++I) {
+    const auto Remaining = static_cast<std::uint32_t>(Members.size() - I);
+    std::swap(Members[I], Members[I + Rng.below(Remaining)]);
+    Recipients.push_back(Members[I]->Endpoint);
+  }
 }
 
-/// Recipients in the node's own domain; \p Others are its other members.
-std::vector<Address> ownDomainRecipients(const std::vector<Member> &Others,
+/// Recipients in the node's own domain.
+std::vector<Address> ownDomainRecipients(const std::vector<Member> &Live,
                                          const Member &Self,
-                                         RecordSource Source, Random &Rng) {
-  std::vector<Member> Large = Others;
-  Large.push_back(Self);
-  const std::size_t DomainSize = Large.size();
-  keepLargeMembers(Large);
-  const bool Mixed = Large.size() < DomainSize;
-  const bool IsLarge =
-      std::any_of(Large.begin(), Large.end(), [&](const Member &Node) {
-        return Node.Endpoint == Self.Endpoint;
-      });
-  const std::size_t MaxDirect = Mixed && IsLarge
+                                         const RecordSender &From,
+                                         Random &Rng) {
+  std::vector<const Member *> Others;
+  for (const Member &Node : Live)
+    if (Node.Domain == Self.Domain && Node.Endpoint != Self.Endpoint)
+      Others.push_back(&Node);
+  const std::uint32_t Largest =
+      std::max(largestCapacity(Others), Self.Capacity);
+  std::vector<const Member *> Large;
+  std::vector<const Member *> Small;
+  for (const Member *Node : Others)
+    (isLarge(*Node, Largest) ? Large : Small).push_back(Node);
+  const bool SelfLarge = isLarge(Self, Largest);
+  const bool Mixed = !Small.empty() || !SelfLarge;
+
+  std::vector<Address> Recipients;
+  const std::size_t MaxDirect = Mixed && SelfLarge
                                     ? config::MaxDirectUpdateMembersLarge
                                     : config::MaxDirectUpdateMembers;
-  std::vector<Address> Recipients = addressesOf(Others);
-  if (Recipients.size() <= MaxDirect) {
-    if (Source == RecordSource::OwnDomain)
-      Recipients.clear();
+  if (Others.size() <= MaxDirect) {
+    if (From.Source != RecordSource::OwnDomain)
+      addSample(Others, Others.size(), Rng, Recipients);
+    return Recipients;
+  }
+  if (!Mixed || Others.size() > config::MaxDirectUpdateMembersLarge) {
+    addSample(Others, config::UpdateFanout, Rng, Recipients);
     return Recipients;
   }
-  // In a domain with large instances, one of them sends the record to all
-  // others, so a single further recipient is enough.
-  reduceToSample(Recipients, Mixed ? 1 : config::UpdateFanout, Rng);
+  const bool FromLarge =
+      std::any_of(Large.begin(), Large.end(), [&](const Member *Node) {
+        return Node->Endpoint == From.Node;
+      });
+  if (FromLarge)
+    return Recipients;
+  if (From.Source != RecordSource::OwnDomain)
+    addSample(Large, Large.size(), Rng, Recipients);
+  addSample(Small, config::UpdateFanout, Rng, Recipients);
   return Recipients;
 }
 
@@ -70,21 +77,22 @@
 
 std::vector<Address> broadcastRecipients(const std::vector<Member> &Live,
                                          const Member &Self,
-                                         RecordSource Source, Random &Rng) {
-  std::map<FailureDomain, std::vector<Member>> Domains;
-  for (const Member &Node : Live)
-    if (Node.Endpoint != Self.Endpoint)
-      Domains[Node.Domain].push_back(Node);
-  std::vector<Address> Recipients =
-      ownDomainRecipients(Domains[Self.Domain], Self, Source, Rng);
-  Domains.erase(Self.Domain);
-  if (Source != RecordSource::Platform)
+                                         const RecordSender &From,
+                                         Random &Rng) {
+  std::vector<Address> Recipients = ownDomainRecipients(Live, Self, From, Rng);
+  if (From.Source != RecordSource::Platform)
     return Recipients;
+  std::map<FailureDomain, std::vector<const Member *>> Domains;
+  for (const Member &Node : Live)
+    if (Node.Domain != Self.Domain)
+      Domains[Node.Domain].push_back(&Node);
   for (auto &[Domain, Members] : Domains) {
-    keepLargeMembers(Members);
-    std::vector<Address> Remote = addressesOf(Members);
-    reduceToSample(Remote, config::CrossDomainUpdateFanout, Rng);
-    Recipients.insert(Recipients.end(), Remote.begin(), Remote.end());
+    // Only the links of large members can carry a long record to the whole
+    // domain.
+    const std::uint32_t Largest = largestCapacity(Members);
+    std::erase_if(Members,
+                  [&](const Member *Node) { return !isLarge(*Node, Largest); });
+    addSample(Members, config::CrossDomainUpdateFanout, Rng, Recipients);
   }
   return Recipients;
 }
--- a/src/core/records/record_broadcast.h
+++ b/src/core/records/record_broadcast.h
@@ -15,14 +15,22 @@
   OwnDomain,   ///< A node of its own failure domain.
 };
 
+/// From whom a node got a new record.
+struct RecordSender {
+  RecordSource Source = RecordSource::Platform;
+  Address Node; ///< Empty if it was read from the platform.
+};
+
 /// The members to which a node sends a new record. Traffic between failure
 /// domains is expensive: a watcher sends to few nodes of each other domain, and
 /// a node that gets a record from another domain sends it to all nodes of its
-/// own. In a domain too large for that, each node sends to a few random ones.
+/// own. In a domain too large for that, each node sends to a few random ones,
+/// or, if the domain has large instances among small ones, only these send; a
+/// record that comes from a small one shows that the large ones may be lost.
 /// \param Live the live members, with or without \p Self.
 std::vector<Address> broadcastRecipients(const std::vector<Member> &Live,
                                          const Member &Self,
-                                         RecordSource Source, Random &Rng);
+                                         const RecordSender &From, Random &Rng);
 
 } // namespace siskinstage
 
--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -121,7 +121,7 @@
             {"source", sourceName(From)},
             {"peer", From.Peer.str()},
             {"way", arrivalName(From.Arrival)}});
-  this->broadcastRecord(New, From.Domain);
+  this->broadcastRecord(New, From);
 }
 
 void DecisionLoop::followEpoch(const Revision &Before, const Record &New,
@@ -154,20 +154,21 @@
 }
 
 void DecisionLoop::broadcastRecord(const Record &New,
-                                   const FailureDomain &From) {
+                                   const RecordOrigin &From) {
   // Not broadcast during startup: each node that starts reads all records.
   if (!this->NextSnapshot.Configured)
     return;
   RecordSource Source = RecordSource::Platform;
-  if (!From.empty())
-    Source = From == this->Context.NodeSettings.Domain
+  if (!From.Domain.empty())
+    Source = From.Domain == this->Context.NodeSettings.Domain
                  ? RecordSource::OwnDomain
                  : RecordSource::OtherDomain;
   RecordUpdate Update = {New.Key, New.Rev, ""};
   if (New.Text && New.Text->size() <= config::MaxInlineRecordBytes)
     Update.Text = *New.Text;
   // If the ring is full, peers find the record by comparing digests.
-  this->Context.postCommand(BroadcastRecord{std::move(Update), Source});
+  this->Context.postCommand(
+      BroadcastRecord{std::move(Update), {Source, From.Peer}});
 }
 
 void DecisionLoop::removeRecord(const Record &Old) {
--- a/src/node/decision_loop.h
+++ b/src/node/decision_loop.h
@@ -61,9 +61,7 @@
   void applyBundle(const BundleRecord &New);
   /// Undoes the effects of the replaced version of a record.
   void removeRecord(const Record &Old);
-  /// \param From domain of the node that sent the record; empty if it came
-  ///        from the platform.
-  void broadcastRecord(const Record &New, const FailureDomain &From);
+  void broadcastRecord(const Record &New, const RecordOrigin &From);
   [[nodiscard]] const RecordStore &records() const;
   /// Logs a change of the entry nodes of this node's failure domain.
   void logEntryChange(const std::vector<SteeringNode> &New) const;
--- a/src/node/fleet/gossip_command.h
+++ b/src/node/fleet/gossip_command.h
@@ -13,7 +13,7 @@
 /// Sends an applied record to some members.
 struct BroadcastRecord {
   RecordUpdate Update;
-  RecordSource Source = RecordSource::Platform;
+  RecordSender From;
 };
 
 /// Sends a report about a target to the given nodes.
--- a/src/node/fleet/gossip_loop.cpp
+++ b/src/node/fleet/gossip_loop.cpp
@@ -93,6 +93,14 @@
   }
 }
 
+const std::vector<Member> &GossipLoop::liveMembers() {
+  if (this->Live.empty() || this->LiveVersion != this->Members.version()) {
+    this->Live = this->Members.live();
+    this->LiveVersion = this->Members.version();
+  }
+  return this->Live;
+}
+
 void GossipLoop::receiveAll() {
   std::array<char, 2048> Buffer{};
   for (int I = 0; I < MaxDatagramsAtOnce; ++I) {
@@ -278,9 +286,8 @@
 
 void GossipLoop::execute(const BroadcastRecord &Command) {
   this->Recent.add(Command.Update, bootNow());
-  this->sendToAll(broadcastRecipients(this->Members.live(),
-                                      this->Members.self(), Command.Source,
-                                      this->RandomSource),
+  this->sendToAll(broadcastRecipients(this->liveMembers(), this->Members.self(),
+                                      Command.From, this->RandomSource),
                   Command.Update);
 }
 
--- a/src/node/fleet/gossip_loop.h
+++ b/src/node/fleet/gossip_loop.h
@@ -53,9 +53,13 @@
   Instant NextMemberSync;
   Duration MemberSyncInterval = config::MinMemberSyncInterval;
   bool LeaveSent = false;
+  std::vector<Member> Live; ///< As of LiveVersion, see liveMembers().
+  std::uint64_t LiveVersion = 0;
   std::unordered_map<Address, Poco::Net::SocketAddress> ResolvedAddresses;
 
   GossipLoop(NodeContext &Context, std::uint64_t Seed);
+  /// The live members, including this node.
+  const std::vector<Member> &liveMembers();
   void receiveAll();
   void receive(const std::string &Datagram);
   void handle(const GossipMessage &Message);
