Records that come together are assembled into a service's view once

Cause: the decision thread built the view of a service anew for each record: as long as the service has targets, for each of its targets that changes.

Change: the records that wait are applied first, and the view is built once; messages of other kinds still find the current one.

--- a/src/node/decision_loop.cpp
+++ b/src/node/decision_loop.cpp
@@ -68,8 +68,14 @@
 }
 
 void DecisionLoop::processUpdates() {
-  while (auto Update = this->Context.Updates.pop())
+  while (auto Update = this->Context.Updates.pop()) {
+    // Records that come together are assembled once: that takes as long as the
+    // service has targets. All other messages need the current services.
+    if (!std::holds_alternative<RecordBatch>(*Update))
+      this->Services.assembleStale();
     std::visit([this](auto &Message) { this->apply(Message); }, *Update);
+  }
+  this->Services.assembleStale();
 }
 
 void DecisionLoop::apply(RecordBatch &Batch) {
@@ -86,7 +92,6 @@
     this->Lists.clear();
   if (Batch.Complete)
     this->applyList(*Batch.Complete);
-  this->Services.assembleStale();
   this->Readiness.onRecords(Batch);
 }
 
