Responses to nodes that stop reading end with the reader's own time limit

As many such nodes as there are threads would keep all others from reading.

Change: writes to nodes have the limit after which these give up, 2 s.

--- a/src/node/callers/response_writer.h
+++ b/src/node/callers/response_writer.h
@@ -45,6 +45,8 @@
     this->WriteTime =
         MayBlock ? Duration(config::CallerWriteTimeout) : Duration::zero();
   }
+  /// Sets the time limit for the caller to accept one write.
+  void setWriteTime(Duration Limit) { this->WriteTime = Limit; }
   /// Closes the connection after this response.
   void closeAfter() { this->Close = true; }
   /// Whether the connection closes after this response.
--- a/src/node/requests/request_flow.cpp
+++ b/src/node/requests/request_flow.cpp
@@ -145,6 +145,8 @@
         this->Request.Arrived +
         this->Request.TimeLeft.value_or(config::DefaultDeadline));
   if (ForPeer) {
+    // The peer has given up by then.
+    this->Writer.setWriteTime(config::PeerCallTimeout);
     this->serveInternal(handlePeerRequest(this->Context, this->Request));
     return std::nullopt;
   }
--- a/tests/unit/peer_port_test.cpp
+++ b/tests/unit/peer_port_test.cpp
@@ -8,6 +8,7 @@
 #include "node/fleet/peer_signature.h"
 #include "node/node_context.h"
 #include "node/snapshot.h"
+#include "siskinstage/config.h"
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
@@ -69,6 +70,24 @@
   std::unique_ptr<ConnectionServer> Server;
 };
 
+// Nodes that lost power while they read held all threads for 30 s.
+TEST_F(PeerPort, NodesThatStopReadingHoldNoThreadForLong) {
+  const Instant Start = bootNow();
+  std::vector<TcpConnection> Stopped;
+  for (int I = 0; I < Threads; ++I) {
+    Stopped.push_back(
+        *TcpConnection::connect(this->Endpoint, Start + TimeLimit));
+    ASSERT_TRUE(
+        Stopped.back().write(headText(this->request()), Start + TimeLimit));
+  }
+  std::this_thread::sleep_for(PauseBeforeReading);
+  auto Reader = *TcpConnection::connect(this->Endpoint, Start + TimeLimit);
+  ASSERT_TRUE(Reader.write(headText(this->request()), Start + TimeLimit));
+  EXPECT_TRUE(
+      readHead(Reader, HeadKind::Response, Start + TimeLimit, TimeLimit));
+  EXPECT_LT(bootNow() - Start, 3 * config::PeerCallTimeout);
+}
+
 // The last free thread wrote what the socket took, and closed the connection.
 TEST_F(PeerPort, LongResponsesAreCompleteWhileAllThreadsAreBusy) {
   const Instant Deadline = bootNow() + TimeLimit;
