Records are compared at once again when digests differ

Callers' requests would have reached a departed target for 5 s after its removal, through one node that was frozen meanwhile.

The frozen node alone still had the target's record, so that all others saw equal digests between its messages and never compared.

Change: a comparison is due at the first digest that differs, at most once a second, as before; requests for the latest records go out besides.

--- a/include/siskinstage/fleet_config.h
+++ b/include/siskinstage/fleet_config.h
@@ -100,10 +100,8 @@
 inline constexpr std::size_t MaxDirectUpdateMembersLarge = 120;
 inline constexpr std::size_t MaxInlineRecordBytes = 700;
 inline constexpr std::chrono::milliseconds RecordSyncPeriod = 1s;
-/// All records are compared if digests differ for this long: requests for the
-/// latest records, one in each RecordRequestPeriod, have not helped.
-inline constexpr std::chrono::milliseconds RecordCompareDelay = 300ms;
-/// Two of three gossip messages of a node find it elapsed.
+/// While digests differ, a node requests the latest records at most once in
+/// this period.
 inline constexpr std::chrono::milliseconds RecordRequestPeriod = 150ms;
 /// How long a node sends a record to others that lack it, several times as long
 /// as a change may take.
--- a/src/core/records/record_repair.cpp
+++ b/src/core/records/record_repair.cpp
@@ -3,24 +3,14 @@
 
 namespace siskinstage {
 
-RecordRepair::Action RecordRepair::onDigest(bool Differs, Instant Now) {
-  if (!Differs) {
-    this->Differing = false;
-    return Action::None;
-  }
-  if (!this->Differing) {
-    this->Differing = true;
-    this->DifferingSince = Now;
-  }
-  if (Now - this->DifferingSince >= config::RecordCompareDelay &&
-      Now >= this->NextComparison) {
+RecordRepair::Actions RecordRepair::onDigest(bool Differs, Instant Now) {
+  const Actions Chosen = {Differs && Now >= this->NextRequest,
+                          Differs && Now >= this->NextComparison};
+  if (Chosen.Request)
+    this->NextRequest = Now + config::RecordRequestPeriod;
+  if (Chosen.Compare)
     this->NextComparison = Now + config::RecordSyncPeriod;
-    return Action::Compare;
-  }
-  if (Now < this->NextRequest)
-    return Action::None;
-  this->NextRequest = Now + config::RecordRequestPeriod;
-  return Action::Request;
+  return Chosen;
 }
 
 } // namespace siskinstage
--- a/src/core/records/record_repair.h
+++ b/src/core/records/record_repair.h
@@ -6,24 +6,22 @@
 namespace siskinstage {
 
 /// Decides how a node learns what it lacks when the digest of its records
-/// differs from that of another node: it first requests the latest records,
-/// with one message, and compares all records if that does not help. While
-/// changes spread, digests differ for some milliseconds without any loss.
+/// differs from that of another node: it requests the latest records with one
+/// message, and less often compares all records. It does both although other
+/// digests are equal: a single node may have what all others lack.
 /// Not thread-safe.
 class RecordRepair {
 public:
-  enum class Action {
-    None,
-    Request, ///< Request the latest records from the sender of the digest.
-    Compare, ///< Compare all records with it.
+  /// What to do with the sender of a digest.
+  struct Actions {
+    bool Request = false; ///< Request the latest records.
+    bool Compare = false; ///< Compare all records.
   };
 
   /// Decides about the digest of a message that arrives at \p Now.
-  Action onDigest(bool Differs, Instant Now);
+  Actions onDigest(bool Differs, Instant Now);
 
 private:
-  bool Differing = false; ///< Since the last equal digest.
-  Instant DifferingSince;
   Instant NextRequest;
   Instant NextComparison;
 };
--- a/src/node/fleet/gossip_loop.cpp
+++ b/src/node/fleet/gossip_loop.cpp
@@ -249,18 +249,13 @@
     this->Context.postSyncTask(Comparison);
     return;
   }
-  switch (this->Repair.onDigest(
-      Message.RecordsDigest != this->Context.Records.digest(), Now)) {
-  case RecordRepair::Action::None:
-    return;
-  case RecordRepair::Action::Request:
+  const auto Actions = this->Repair.onDigest(
+      Message.RecordsDigest != this->Context.Records.digest(), Now);
+  if (Actions.Request)
     this->send(Message.From.Endpoint,
                this->Members.compose(RecordRequest{this->Recent.marks(Now)}));
-    return;
-  case RecordRepair::Action::Compare:
+  if (Actions.Compare)
     this->Context.postSyncTask(Comparison);
-    return;
-  }
 }
 
 void GossipLoop::compareDigests(const GossipMessage &Message) {
